--- /dev/null
+++ b/cmd/citrongauge/main.go
@@ -0,0 +1,4 @@
+// Command citrongauge is the daemon that runs on every entry host.
+package main
+
+func main() {}
--- /dev/null
+++ b/control/record.go
@@ -0,0 +1,127 @@
+// Package control holds the control record and decides from it: which revision a host holds, how fresh it is,
+// whether the host may start work, who is evicted and when a roll-out is accepted.
+//
+// All decisions are pure functions of state, event and time. The daemon's control goroutine owns the state and
+// performs the effects. See docs/design.md, section 4.
+package control
+
+import (
+	"time"
+)
+
+// StoreKey is the store's key of the control record.
+const StoreKey = "control"
+
+// Times of the protocol between entry hosts. A host that waits for a permission of another host to lapse
+// stretches them by Stretch.
+const (
+	PermitTTL         = 1200 * time.Millisecond
+	AttestTTL         = 2000 * time.Millisecond
+	HeartbeatInterval = 250 * time.Millisecond
+	StoreReadInterval = 400 * time.Millisecond
+	RelayTimeout      = 1000 * time.Millisecond
+	EvictAfter        = 3000 * time.Millisecond
+	clockErrorPercent = 5
+)
+
+// Stretch lengthens d by the bound on the difference in rate between two clocks.
+func Stretch(d time.Duration) time.Duration {
+	return d + d*clockErrorPercent/100
+}
+
+// Record is the control record. It changes only by compare-and-swap on StoreKey.
+type Record struct {
+	// Revision rises by one with every change.
+	Revision uint64 `cbor:"1,keyasint"`
+	// BundleVersion and BundleDigest name the bundle in force. They never go back.
+	BundleVersion uint64   `cbor:"2,keyasint"`
+	BundleDigest  [32]byte `cbor:"3,keyasint"`
+	// AcceptedVersion is the last bundle version that is in force on every host that may start work.
+	AcceptedVersion uint64 `cbor:"4,keyasint"`
+	// MaxServeForMS is the longest isolation time of all bundles since the accepted one.
+	MaxServeForMS int64 `cbor:"5,keyasint"`
+	// Roster lists the entry hosts in the order in which they joined.
+	Roster []Member `cbor:"6,keyasint"`
+	// Departed lists evicted entry hosts that may still be able to start work.
+	Departed []Member `cbor:"7,keyasint,omitempty"`
+	// PastRosters lists the earlier rosters of zones since the last settled revision.
+	PastRosters []PastRoster `cbor:"11,keyasint,omitempty"`
+	// PoolSeq rises with every change of Assignments.
+	PoolSeq     uint64       `cbor:"8,keyasint"`
+	Assignments []Assignment `cbor:"9,keyasint"`
+	// WriterNonce identifies the writer of this revision, so that it can recognize its own write after a lost
+	// answer.
+	WriterNonce string `cbor:"10,keyasint,omitempty"`
+}
+
+// Member is an entry host.
+type Member struct {
+	// ID is unique for each start of a daemon.
+	ID      string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"` // IP:port for peers
+}
+
+// PastRoster is an earlier roster of a zone. A member that has not seen a newer revision may still act on it.
+type PastRoster struct {
+	Zone    string   `cbor:"1,keyasint"`
+	Members []string `cbor:"2,keyasint"`
+}
+
+// HostState is the state of an upstream host's assignment.
+type HostState string
+
+// The values of HostState.
+const (
+	InService   HostState = "in_service"
+	Draining    HostState = "draining"
+	Maintenance HostState = "maintenance" // drained, being rebooted
+	Stuck       HostState = "stuck"       // did not drain in time
+)
+
+// Assignment says to which pool an upstream host belongs. A host has exactly one.
+type Assignment struct {
+	Host string `cbor:"1,keyasint"`
+	Pool string `cbor:"2,keyasint"`
+	// Epoch rises with every change of pool or state that takes the host out of service. Upstreams refuse lower
+	// ones.
+	Epoch uint64    `cbor:"3,keyasint"`
+	State HostState `cbor:"4,keyasint"`
+	// MoveTo is the pool to which a draining host moves, empty for maintenance.
+	MoveTo string `cbor:"5,keyasint,omitempty"`
+	// SinceUnixMS is the time of the last change of state, on the writer's clock.
+	SinceUnixMS int64 `cbor:"6,keyasint,omitempty"`
+	// MaintainedUnixMS is the end of the last planned maintenance, on the writer's clock.
+	MaintainedUnixMS int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// ZoneMembers returns the members of a zone in roster order.
+func (r *Record) ZoneMembers(zone string) []Member {
+	var members []Member
+	for _, m := range r.Roster {
+		if m.Zone == zone {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// Member returns the member with the given ID.
+func (r *Record) Member(id string) (Member, bool) {
+	for _, m := range r.Roster {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Assignment returns the assignment of an upstream host.
+func (r *Record) Assignment(host string) (Assignment, bool) {
+	for _, a := range r.Assignments {
+		if a.Host == host {
+			return a, true
+		}
+	}
+	return Assignment{}, false
+}
--- /dev/null
+++ b/testbed/doc.go
@@ -0,0 +1,3 @@
+// Package testbed holds what the tests and measurements need: stand-ins for the platform and for upstreams, a load
+// generator and experiments.
+package testbed
