Add admission, the peer transport, the callers' API and the daemon's settings

Cause: requests need queues that follow the teams' shares over the fleet, and hosts need to talk to each other. Ruled out: a central queue (a new point of failure) and every host for itself (a team with load on one host only would get that host's part). Change: packages admission, peer, api; settings of the daemon.

--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,185 @@
+// Package daemon wires the duties of an entry host together: settings, the control goroutine, traffic, the HTTP
+// servers, metrics and shutdown.
+package daemon
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+
+	"citrongauge.example/citrongauge/result"
+)
+
+// Settings are a daemon's settings, read from JSON with comments. Everything else comes from the bundle.
+type Settings struct {
+	// Zone is the availability zone of this host.
+	Zone string `json:"zone"`
+	// Listen is the IP:port for callers, operators and metrics.
+	Listen string `json:"listen"`
+	// PeerListen is the IP:port for other entry hosts.
+	PeerListen string `json:"peer_listen"`
+	// PeerAddress is the IP:port at which other entry hosts reach PeerListen; PeerListen by default.
+	PeerAddress string `json:"peer_address,omitempty"`
+	// Platform is the base URL of the platform's store and host list, with an IP address.
+	Platform string `json:"platform"`
+	// Seeds are peer addresses that are asked for the control record when the store is down.
+	Seeds []string `json:"seeds,omitempty"`
+	// SecretFile holds the fleet's secret, at least 32 bytes.
+	SecretFile string `json:"secret_file"`
+	// Operators are the public keys that may sign bundles and administration requests.
+	Operators []Operator `json:"operators"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level,omitempty"`
+	// ShutdownMS is how long a graceful shutdown waits for running work, in milliseconds.
+	ShutdownMS int64 `json:"shutdown_ms,omitempty"`
+	// MaxRequestBytes is the largest body of a caller's request.
+	MaxRequestBytes int64 `json:"max_request_bytes,omitempty"`
+}
+
+// Operator is an operator's public key.
+type Operator struct {
+	Name string `json:"name"`
+	// PublicKey is an Ed25519 public key in base64.
+	PublicKey string `json:"public_key"`
+}
+
+// Defaults of optional settings.
+const (
+	defaultLogLevel        = "info"
+	defaultShutdown        = 60 * time.Second
+	defaultMaxRequestBytes = 4 << 20
+	maxRequestBytesLimit   = 64 << 20
+	minSecretBytes         = 32
+	maxSettingsBytes       = 1 << 20
+)
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Settings{}, result.Errorf(result.SettingsInvalid, "%v", err)
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxSettingsBytes+1))
+	if err != nil {
+		return Settings{}, result.Errorf(result.SettingsInvalid, "%s: %v", path, err)
+	}
+	s, err := ParseSettings(text)
+	if err != nil {
+		return s, result.Errorf(result.SettingsInvalid, "%s: %v", path, err)
+	}
+	return s, nil
+}
+
+// ParseSettings reads settings strictly and fills in defaults.
+func ParseSettings(text []byte) (Settings, error) {
+	var s Settings
+	if len(text) > maxSettingsBytes {
+		return s, errors.Errorf("larger than %d bytes", maxSettingsBytes)
+	}
+	standard, err := hujson.Standardize(text)
+	if err != nil {
+		return s, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return s, err
+	}
+	if decoder.More() {
+		return s, errors.New("text after the settings")
+	}
+	s.applyDefaults()
+	return s, s.validate()
+}
+
+func (s *Settings) applyDefaults() {
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.PeerListen
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = defaultLogLevel
+	}
+	if s.ShutdownMS == 0 {
+		s.ShutdownMS = defaultShutdown.Milliseconds()
+	}
+	if s.MaxRequestBytes == 0 {
+		s.MaxRequestBytes = defaultMaxRequestBytes
+	}
+}
+
+func (s *Settings) validate() error {
+	if s.Zone == "" {
+		return errors.New("zone: missing")
+	}
+	addresses := map[string]string{"listen": s.Listen, "peer_listen": s.PeerListen, "peer_address": s.PeerAddress}
+	for field, address := range addresses {
+		if err := checkAddress(address); err != nil {
+			return errors.Wrap(err, field)
+		}
+	}
+	for _, seed := range s.Seeds {
+		if err := checkAddress(seed); err != nil {
+			return errors.Wrap(err, "seeds")
+		}
+	}
+	if s.Platform == "" {
+		return errors.New("platform: missing")
+	}
+	if s.ShutdownMS < 0 {
+		return errors.New("shutdown_ms: negative")
+	}
+	if s.MaxRequestBytes < 0 || s.MaxRequestBytes > maxRequestBytesLimit {
+		return errors.Errorf("max_request_bytes: not within 1 to %d", maxRequestBytesLimit)
+	}
+	_, err := s.OperatorKeys()
+	return err
+}
+
+// checkAddress accepts IP:port only, since the system does not use DNS.
+func checkAddress(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return errors.Errorf("%q is not IP:port", address)
+	}
+	return nil
+}
+
+// OperatorKeys returns the operators' public keys by name.
+func (s *Settings) OperatorKeys() (map[string]ed25519.PublicKey, error) {
+	keys := make(map[string]ed25519.PublicKey, len(s.Operators))
+	for _, o := range s.Operators {
+		raw, err := base64.StdEncoding.DecodeString(o.PublicKey)
+		if err != nil || len(raw) != ed25519.PublicKeySize {
+			return nil, errors.Errorf("operators: public key of %q is not %d bytes of base64", o.Name, ed25519.PublicKeySize)
+		}
+		if _, twice := keys[o.Name]; twice || o.Name == "" {
+			return nil, errors.Errorf("operators: name %q is empty or given twice", o.Name)
+		}
+		keys[o.Name] = raw
+	}
+	if len(keys) == 0 {
+		return nil, errors.New("operators: missing")
+	}
+	return keys, nil
+}
+
+// ReadSecret reads the fleet's secret.
+func (s *Settings) ReadSecret() ([]byte, error) {
+	secret, err := os.ReadFile(s.SecretFile)
+	if err != nil {
+		return nil, result.Errorf(result.SettingsInvalid, "secret_file: %v", err)
+	}
+	secret = bytes.TrimSpace(secret)
+	if len(secret) < minSecretBytes {
+		return nil, result.Errorf(result.SettingsInvalid, "secret_file: shorter than %d bytes", minSecretBytes)
+	}
+	return secret, nil
+}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,200 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/result"
+)
+
+const (
+	handshakeTimeout = time.Second
+	writeTimeout     = time.Second
+	probeInterval    = time.Second
+	probeTimeout     = 2 * time.Second
+	sendQueueLength  = 256
+)
+
+// Roles in the handshake.
+const (
+	roleDialer   = "dialer"
+	roleAcceptor = "acceptor"
+)
+
+// conn is an authenticated connection.
+type conn struct {
+	ws     *websocket.Conn
+	peerID string
+	out    chan []byte
+	closed chan struct{}
+	once   sync.Once
+}
+
+// handshake authenticates both sides and returns the connection.
+func handshake(ctx context.Context, ws *websocket.Conn, selfID string, secret []byte, role string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	ws.SetReadLimit(MaxMessageBytes)
+	self := hello{ID: selfID, Nonce: make([]byte, nonceBytes)}
+	if _, err := rand.Read(self.Nonce); err != nil {
+		return nil, errors.Wrap(err, "nonce")
+	}
+	if err := writeMessage(ctx, ws, typeHello, self); err != nil {
+		return nil, err
+	}
+	var other hello
+	if err := readMessage(ctx, ws, typeHello, &other); err != nil {
+		return nil, err
+	}
+	if len(other.Nonce) != nonceBytes || other.ID == "" || other.ID == selfID {
+		return nil, result.Errorf(result.PeerProtocol, "bad hello")
+	}
+	if err := writeMessage(ctx, ws, typeProof, proof{MAC: mac(secret, role, self, other)}); err != nil {
+		return nil, err
+	}
+	var p proof
+	if err := readMessage(ctx, ws, typeProof, &p); err != nil {
+		return nil, err
+	}
+	if !hmac.Equal(p.MAC, mac(secret, otherRole(role), other, self)) {
+		return nil, result.Errorf(result.PeerProtocol, "peer %s does not know the fleet's secret", other.ID)
+	}
+	return &conn{ws: ws, peerID: other.ID, out: make(chan []byte, sendQueueLength), closed: make(chan struct{})}, nil
+}
+
+func otherRole(role string) string {
+	if role == roleDialer {
+		return roleAcceptor
+	}
+	return roleDialer
+}
+
+func writeMessage(ctx context.Context, ws *websocket.Conn, t Type, body any) error {
+	data, err := encodeMessage(t, 0, body)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(ws.Write(ctx, websocket.MessageBinary, data), "write")
+}
+
+func encodeMessage(t Type, call uint64, body any) ([]byte, error) {
+	raw, err := Encode(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode body")
+	}
+	data, err := Encode(Message{Version: ProtocolVersion, Type: t, Call: call, Body: raw})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	if len(data) > MaxMessageBytes {
+		return nil, result.Errorf(result.PeerProtocol, "message of %d bytes", len(data))
+	}
+	return data, nil
+}
+
+func readMessage(ctx context.Context, ws *websocket.Conn, want Type, body any) error {
+	_, data, err := ws.Read(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read")
+	}
+	m, err := DecodeMessage(data)
+	if err != nil {
+		return err
+	}
+	if m.Type != want {
+		return result.Errorf(result.PeerProtocol, "message type %d in the handshake", m.Type)
+	}
+	return Decode(m.Body, body)
+}
+
+// send queues a message. It returns false if the queue is full or the connection closed.
+func (c *conn) send(data []byte) bool {
+	select {
+	case <-c.closed:
+		return false
+	default:
+	}
+	select {
+	case c.out <- data:
+		return true
+	default:
+		return false
+	}
+}
+
+// writeLoop writes queued messages until the connection closes.
+func (c *conn) writeLoop(ctx context.Context, sent func(bytes int)) {
+	defer c.close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.closed:
+			return
+		case data := <-c.out:
+			if err := c.write(ctx, data); err != nil {
+				return
+			}
+			sent(len(data))
+		}
+	}
+}
+
+func (c *conn) write(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return c.ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+// probeLoop closes the connection when the peer does not answer. After a partition TCP would go on waiting for its
+// backed-off retransmission timer, long after the network has healed.
+func (c *conn) probeLoop(ctx context.Context) {
+	defer c.close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.closed:
+			return
+		case <-time.After(probeInterval):
+		}
+		if err := c.probe(ctx); err != nil {
+			return
+		}
+	}
+}
+
+func (c *conn) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return c.ws.Ping(ctx)
+}
+
+// readLoop passes messages to handle until the connection closes.
+func (c *conn) readLoop(ctx context.Context, handle func(Message)) error {
+	defer c.close()
+	for {
+		_, data, err := c.ws.Read(ctx)
+		if err != nil {
+			return err
+		}
+		m, err := DecodeMessage(data)
+		if err != nil {
+			return err
+		}
+		handle(m)
+	}
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		close(c.closed)
+		_ = c.ws.CloseNow()
+	})
+}
