--- /dev/null
+++ b/result/result_test.go
@@ -0,0 +1,77 @@
+package result
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "rewrite the table in docs/ERRORS.md")
+
+const (
+	docsFile   = "../docs/ERRORS.md"
+	tableStart = "<!-- table: go test ./result -update -->\n"
+	tableEnd   = "<!-- end of table -->\n"
+)
+
+func markdownTable() string {
+	var b strings.Builder
+	b.WriteString("| Code | Name | Meaning | Was it run? | May the caller repeat it? | After |\n|---|---|---|---|---|---|\n")
+	for _, i := range All() {
+		after := ""
+		if i.RetryAfter > 0 {
+			after = i.RetryAfter.String()
+		}
+		run := string(i.Run)
+		if i.Run == RunNone {
+			run = ""
+		}
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s | %s | %s |\n", i.Code, i.Name, i.Message, run, i.Retry, after)
+	}
+	return b.String()
+}
+
+// Guards against a table in the docs that differs from the codes that are sent.
+func TestTableInDocs(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile(docsFile)
+	is.NoErr(err)
+	before, rest, ok := strings.Cut(string(data), tableStart)
+	is.True(ok) // start marker
+	table, after, ok := strings.Cut(rest, tableEnd)
+	is.True(ok) // end marker
+	if *update {
+		is.NoErr(os.WriteFile(docsFile, []byte(before+tableStart+markdownTable()+tableEnd+after), 0o644))
+		return
+	}
+	is.Equal(table, markdownTable())
+}
+
+// Guards against a code whose number contradicts what it says about the work.
+func TestCodeRangesAgreeWithRun(t *testing.T) {
+	for _, i := range All() {
+		var want Run
+		switch i.Code / 1000 {
+		case 2:
+			want = RunNo
+		case 3:
+			want = RunUnknown
+		case 4:
+			want = RunYes
+		case 5:
+			want = RunNone
+		default:
+			continue
+		}
+		if i.Run != want {
+			t.Errorf("%d %s says %q", i.Code, i.Name, i.Run)
+		}
+		if i.Run == RunUnknown && i.Retry == RetryAny {
+			t.Errorf("%d %s allows a repeat as a new request although the work may have run", i.Code, i.Name)
+		}
+	}
+}
