--- a/peer/conn.go
+++ b/peer/conn.go
@@ -30,18 +30,18 @@
 // conn is an authenticated connection.
 type conn struct {
 	ws     *websocket.Conn
-	peerID string
+	peer   Identity
 	out    chan []byte
 	closed chan struct{}
 	once   sync.Once
 }
 
 // handshake authenticates both sides and returns the connection.
-func handshake(ctx context.Context, ws *websocket.Conn, selfID string, secret []byte, role string) (*conn, error) {
+func handshake(ctx context.Context, ws *websocket.Conn, identity Identity, secret []byte, role string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	ws.SetReadLimit(MaxMessageBytes)
-	self := hello{ID: selfID, Nonce: make([]byte, nonceBytes)}
+	self := hello{Identity: identity, Nonce: make([]byte, nonceBytes)}
 	if _, err := rand.Read(self.Nonce); err != nil {
 		return nil, errors.Wrap(err, "nonce")
 	}
@@ -52,7 +52,7 @@
 	if err := readMessage(ctx, ws, typeHello, &other); err != nil {
 		return nil, err
 	}
-	if len(other.Nonce) != nonceBytes || other.ID == "" || other.ID == selfID {
+	if len(other.Nonce) != nonceBytes || other.Identity.ID == "" || other.Identity.ID == identity.ID {
 		return nil, result.Errorf(result.PeerProtocol, "bad hello")
 	}
 	if err := writeMessage(ctx, ws, typeProof, proof{MAC: mac(secret, role, self, other)}); err != nil {
@@ -63,9 +63,9 @@
 		return nil, err
 	}
 	if !hmac.Equal(p.MAC, mac(secret, otherRole(role), other, self)) {
-		return nil, result.Errorf(result.PeerProtocol, "peer %s does not know the fleet's secret", other.ID)
+		return nil, result.Errorf(result.PeerProtocol, "peer %s does not know the fleet's secret", other.Identity.ID)
 	}
-	return &conn{ws: ws, peerID: other.ID, out: make(chan []byte, sendQueueLength), closed: make(chan struct{})}, nil
+	return &conn{ws: ws, peer: other.Identity, out: make(chan []byte, sendQueueLength), closed: make(chan struct{})}, nil
 }
 
 func otherRole(role string) string {
@@ -80,7 +80,10 @@
 	if err != nil {
 		return err
 	}
-	return errors.Wrap(ws.Write(ctx, websocket.MessageBinary, data), "write")
+	if err := ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	return nil
 }
 
 func encodeMessage(t Type, call uint64, body any) ([]byte, error) {
--- a/peer/message.go
+++ b/peer/message.go
@@ -47,9 +47,18 @@
 	Body    cbor.RawMessage `cbor:"4,keyasint,omitempty"`
 }
 
+// Identity is what a peer says of itself when it connects. Its knowledge of the fleet's secret vouches for it.
+type Identity struct {
+	// ID is the ID of the present incarnation.
+	ID   string `cbor:"1,keyasint"`
+	Zone string `cbor:"2,keyasint"`
+	// Address is the IP:port at which the peer accepts connections.
+	Address string `cbor:"3,keyasint"`
+}
+
 type hello struct {
-	ID    string `cbor:"1,keyasint"`
-	Nonce []byte `cbor:"2,keyasint"`
+	Identity Identity `cbor:"1,keyasint"`
+	Nonce    []byte   `cbor:"2,keyasint"`
 }
 
 type proof struct {
@@ -114,8 +123,10 @@
 	h := hmac.New(sha256.New, secret)
 	for _, part := range [][]byte{
 		[]byte("citrongauge peer 1"), []byte(role),
-		[]byte(prover.ID), prover.Nonce, []byte(verifier.ID), verifier.Nonce,
+		[]byte(prover.Identity.ID), []byte(prover.Identity.Zone), []byte(prover.Identity.Address), prover.Nonce,
+		[]byte(verifier.Identity.ID), verifier.Nonce,
 	} {
+		// Hashing each part first keeps the boundaries between parts unambiguous.
 		sum := sha256.Sum256(part)
 		h.Write(sum[:])
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -29,18 +29,18 @@
 // Handler receives messages. Both methods are called on transport goroutines; Receive must not block.
 type Handler interface {
 	// Receive takes a one-way message from an authenticated peer.
-	Receive(from string, t Type, body []byte)
+	Receive(from Identity, t Type, body []byte)
 	// Answer answers a call from an authenticated peer. It may take as long as its context.
-	Answer(ctx context.Context, from string, t Type, body []byte) (any, error)
+	Answer(ctx context.Context, from Identity, t Type, body []byte) (any, error)
 }
 
 // Options configure a Node.
 type Options struct {
-	// ID returns the ID of this host's present incarnation.
-	ID      func() string
-	Secret  []byte
-	Handler Handler
-	Log     *log.Logger
+	// Identity returns what this host says of itself; its ID changes with each incarnation.
+	Identity func() Identity
+	Secret   []byte
+	Handler  Handler
+	Log      *log.Logger
 	// Registerer registers the metrics.
 	Registerer prometheus.Registerer
 }
@@ -90,7 +90,7 @@
 	if err != nil {
 		return
 	}
-	c, err := handshake(n.ctx, ws, n.opts.ID(), n.opts.Secret, roleAcceptor)
+	c, err := handshake(n.ctx, ws, n.opts.Identity(), n.opts.Secret, roleAcceptor)
 	if err != nil {
 		n.opts.Log.Warn("peer refused", "remote", r.RemoteAddr, "err", err)
 		_ = ws.CloseNow()
@@ -108,7 +108,7 @@
 	case m.Type == TypeAnswer:
 		n.resolve(m)
 	case m.Call == 0:
-		n.opts.Handler.Receive(c.peerID, m.Type, m.Body)
+		n.opts.Handler.Receive(c.peer, m.Type, m.Body)
 	default:
 		n.answer(c, m)
 	}
@@ -132,9 +132,9 @@
 		ctx, cancel := context.WithCancel(n.ctx)
 		defer cancel()
 		go cancelWhenClosed(ctx, cancel, c)
-		reply, err := n.opts.Handler.Answer(ctx, c.peerID, m.Type, m.Body)
+		reply, err := n.opts.Handler.Answer(ctx, c.peer, m.Type, m.Body)
 		if err != nil {
-			n.opts.Log.Debug("call refused", "peer", c.peerID, "type", m.Type, "err", err)
+			n.opts.Log.Debug("call refused", "peer", c.peer.ID, "type", m.Type, "err", err)
 			return
 		}
 		data, err := encodeMessage(TypeAnswer, m.Call, reply)
@@ -161,7 +161,7 @@
 		return
 	}
 	c := n.connected(address)
-	if c == nil || (id != "" && c.peerID != id) || !c.send(data) {
+	if c == nil || (id != "" && c.peer.ID != id) || !c.send(data) {
 		n.dropped.Inc()
 	}
 }
@@ -172,8 +172,8 @@
 	if err != nil {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
-	if c.peerID != id {
-		return errors.Wrapf(ErrUnreachable, "%s is now %s", address, c.peerID)
+	if c.peer.ID != id {
+		return errors.Wrapf(ErrUnreachable, "%s is now %s", address, c.peer.ID)
 	}
 	number := n.nextCall.Add(1)
 	data, err := encodeMessage(t, number, body)
@@ -289,7 +289,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := handshake(ctx, ws, n.opts.ID(), n.opts.Secret, roleDialer)
+	c, err := handshake(ctx, ws, n.opts.Identity(), n.opts.Secret, roleDialer)
 	if err != nil {
 		_ = ws.CloseNow()
 		return nil, err
