--- /dev/null
+++ b/control/codec.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"math/bits"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"citrongauge.example/citrongauge/result"
+)
+
+// Limits of encoded records and heartbeats.
+const (
+	// MaxRecordBytes is the size of the store's largest value.
+	MaxRecordBytes    = 1 << 20
+	MaxHeartbeatBytes = 4 << 10
+	// MaxZoneMembers follows from the bit masks of the heartbeat.
+	MaxZoneMembers = 64
+	// MaxZones bounds the list of zone ages in a heartbeat.
+	MaxZones = 64
+	// MaxPastRosters bounds the growth of the record while a zone is cut off. Roster changes wait when the list
+	// is full.
+	MaxPastRosters = 512
+	maxNameBytes   = 256
+	maxElements    = 8192
+	maxNesting     = 5
+	maxFields      = 32
+)
+
+var (
+	encoding = newEncoding()
+	decoding = newDecoding()
+)
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxNestedLevels:   maxNesting,
+		MaxArrayElements:  maxElements,
+		MaxMapPairs:       maxFields,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// EncodeRecord returns the record's stored form. An invalid or too large record is an error.
+func EncodeRecord(record Record) ([]byte, error) {
+	if err := record.validate(); err != nil {
+		return nil, err
+	}
+	data, err := encoding.Marshal(record)
+	if err != nil {
+		return nil, result.Errorf(result.PeerProtocol, "control record: %v", err)
+	}
+	if len(data) > MaxRecordBytes {
+		return nil, result.Errorf(result.PeerProtocol, "control record: %d bytes exceed %d", len(data), MaxRecordBytes)
+	}
+	return data, nil
+}
+
+// DecodeRecord reads the record's stored form and validates it.
+func DecodeRecord(data []byte) (Record, error) {
+	var record Record
+	if len(data) > MaxRecordBytes {
+		return Record{}, result.Errorf(result.PeerProtocol, "control record: %d bytes exceed %d", len(data), MaxRecordBytes)
+	}
+	if err := decoding.Unmarshal(data, &record); err != nil {
+		return Record{}, result.Errorf(result.PeerProtocol, "control record: %v", err)
+	}
+	if err := record.validate(); err != nil {
+		return Record{}, err
+	}
+	return record, nil
+}
+
+// EncodeHeartbeat returns the heartbeat's wire form.
+func EncodeHeartbeat(heartbeat Heartbeat) ([]byte, error) {
+	data, err := encoding.Marshal(heartbeat)
+	if err != nil {
+		return nil, result.Errorf(result.PeerProtocol, "heartbeat: %v", err)
+	}
+	return data, nil
+}
+
+// DecodeHeartbeat reads the heartbeat's wire form.
+func DecodeHeartbeat(data []byte) (Heartbeat, error) {
+	var heartbeat Heartbeat
+	if len(data) > MaxHeartbeatBytes {
+		return Heartbeat{}, result.Errorf(result.PeerProtocol, "heartbeat: %d bytes exceed %d", len(data), MaxHeartbeatBytes)
+	}
+	if err := decoding.Unmarshal(data, &heartbeat); err != nil {
+		return Heartbeat{}, result.Errorf(result.PeerProtocol, "heartbeat: %v", err)
+	}
+	if len(heartbeat.ZoneAges) > MaxZones {
+		return Heartbeat{}, result.Errorf(result.PeerProtocol, "heartbeat: %d zones exceed %d", len(heartbeat.ZoneAges), MaxZones)
+	}
+	return heartbeat, nil
+}
+
+// validate checks what the rest of the package relies on.
+func (r *Record) validate() error {
+	if r.AcceptedVersion > r.BundleVersion {
+		return result.Errorf(result.PeerProtocol, "control record: accepted version %d above version %d", r.AcceptedVersion, r.BundleVersion)
+	}
+	if r.SettledRevision > r.Revision {
+		return result.Errorf(result.PeerProtocol, "control record: settled revision %d above revision %d", r.SettledRevision, r.Revision)
+	}
+	if r.MaxServeForMS < 0 || len(r.PastRosters) > MaxPastRosters {
+		return result.Errorf(result.PeerProtocol, "control record: value out of range")
+	}
+	if err := r.validateMembers(); err != nil {
+		return err
+	}
+	return r.validateAssignments()
+}
+
+func (r *Record) validateMembers() error {
+	seen := make(map[string]bool, len(r.Roster)+len(r.Departed))
+	zones := make(map[string]int)
+	for i, m := range append(append([]Member(nil), r.Roster...), r.Departed...) {
+		if m.ID == "" || m.Zone == "" || len(m.ID) > maxNameBytes || len(m.Zone) > maxNameBytes || seen[m.ID] {
+			return result.Errorf(result.PeerProtocol, "control record: member %q is repeated or malformed", m.ID)
+		}
+		seen[m.ID] = true
+		if i < len(r.Roster) {
+			zones[m.Zone]++
+		}
+		if zones[m.Zone] > MaxZoneMembers || len(zones) > MaxZones {
+			return result.Errorf(result.PeerProtocol, "control record: too many members or zones")
+		}
+	}
+	return nil
+}
+
+func (r *Record) validateAssignments() error {
+	seen := make(map[string]bool, len(r.Assignments))
+	for i := range r.Assignments {
+		host := r.Assignments[i].Host
+		if host == "" || len(host) > maxNameBytes || seen[host] {
+			return result.Errorf(result.PeerProtocol, "control record: assignment of %q is repeated or malformed", host)
+		}
+		seen[host] = true
+	}
+	return nil
+}
+
+// memberMask is a set of members of one zone, by their position in the zone's roster.
+type memberMask uint64
+
+func (m memberMask) has(i int) bool { return m&(1<<i) != 0 }
+
+func (m memberMask) count() int { return bits.OnesCount64(uint64(m)) }
--- a/control/record.go
+++ b/control/record.go
@@ -21,6 +21,15 @@
 	StoreReadInterval = 400 * time.Millisecond
 	RelayTimeout      = 1000 * time.Millisecond
 	EvictAfter        = 3000 * time.Millisecond
+	// ReservationTTL is how long after a permission check a start may still happen.
+	ReservationTTL = 700 * time.Millisecond
+	// TickInterval is the interval at which the daemon passes Tick.
+	TickInterval = 25 * time.Millisecond
+	// StoreTimeout is the time after which an unanswered store call counts as lost.
+	StoreTimeout = 1000 * time.Millisecond
+	// SuspectAfter is the silence after which a relay marks a member as suspect. The rest of EvictAfter is left
+	// to the suspect to object.
+	SuspectAfter      = 1500 * time.Millisecond
 	clockErrorPercent = 5
 )
 
@@ -52,6 +61,12 @@
 	// WriterNonce identifies the writer of this revision, so that it can recognize its own write after a lost
 	// answer.
 	WriterNonce string `cbor:"10,keyasint,omitempty"`
+	// Suspects lists the IDs of members that a relay has not heard from. A suspect that reaches the store, or a
+	// relay that hears it, removes it from the list; otherwise it is evicted. Without this step two zones that
+	// reach the store but not each other would evict one another over and over.
+	Suspects []string `cbor:"12,keyasint,omitempty"`
+	// SettledRevision is the last revision known to be settled: no host can start work under a lower one.
+	SettledRevision uint64 `cbor:"13,keyasint"`
 }
 
 // Member is an entry host.
@@ -66,6 +81,8 @@
 type PastRoster struct {
 	Zone    string   `cbor:"1,keyasint"`
 	Members []string `cbor:"2,keyasint"`
+	// Until is the revision that replaced this roster.
+	Until uint64 `cbor:"3,keyasint"`
 }
 
 // HostState is the state of an upstream host's assignment.
