Add HTTP clients and stand-ins of the platform and of upstreams

The daemon needs clients of the store, the host list and the upstreams, and tests need something to run them against.

Clients: every answer carries a code, and for upstreams the call and its subject, so that an answer of something else is never taken for a certain one. The digest of a task's answer also covers the attempt ID; a digest of the answer alone would accept an answer that is swapped together with its length and digest. Certain answers map to the errors of the packages, everything else is ErrUnavailable or ErrUnreachable. Only the start of an answer that was cut short is ErrIncomplete.

Checked: go test -race -count=3 of testbed/standin passes, through the real clients.

--- /dev/null
+++ b/testbed/standin/platform.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"citrongauge.example/citrongauge/platform"
+)
+
+// PlatformFaults are the switches of a Platform, the body of PUT /control/faults.
+type PlatformFaults struct {
+	// Outage closes every connection without an answer, waiting watches included.
+	Outage bool `json:"outage,omitempty"`
+	// DelayMS delays every call, half of it before and half of it after it takes effect.
+	DelayMS int64 `json:"delay_ms,omitempty"`
+	// LoseWriteAnswers is the number of next writes that are applied and not answered.
+	LoseWriteAnswers int `json:"lose_write_answers,omitempty"`
+	// CutClients and CutSources get no answers. Clients are values of platform.ClientHeader, sources are IP
+	// addresses or prefixes.
+	CutClients []string `json:"cut_clients,omitempty"`
+	CutSources []string `json:"cut_sources,omitempty"`
+	// HostListLagMS is the lag of the host list, at most a minute.
+	HostListLagMS int64 `json:"host_list_lag_ms,omitempty"`
+	// RebootMS is the time that a reboot takes.
+	RebootMS int64 `json:"reboot_ms,omitempty"`
+}
+
+// PlatformCounters count the calls since the start. A watch counts as one, whether or not it had to wait.
+type PlatformCounters struct {
+	Calls   uint64 `json:"calls"`
+	Reads   uint64 `json:"reads"`
+	Writes  uint64 `json:"writes"`
+	Watches uint64 `json:"watches"`
+	Hosts   uint64 `json:"hosts"`
+	Reboots uint64 `json:"reboots"`
+	Dropped uint64 `json:"dropped"` // calls that got no answer because of a fault
+}
+
+// Platform is a stand-in for the platform: its store and its host list. It is an http.Handler.
+type Platform struct {
+	router *mux.Router
+	store  *store
+	hosts  *hostList
+
+	mu       sync.Mutex
+	faults   PlatformFaults
+	sources  []netip.Prefix
+	counters PlatformCounters
+	// faultsChanged is closed and replaced when the faults change, so that waiting watches notice it.
+	faultsChanged chan struct{}
+}
+
+// NewPlatform returns a platform with an empty store and no hosts.
+func NewPlatform() *Platform {
+	p := &Platform{
+		router:        mux.NewRouter(),
+		store:         newStore(),
+		hosts:         newHostList(),
+		faultsChanged: make(chan struct{}),
+	}
+	p.router.HandleFunc(platform.StorePath, p.read).Methods(http.MethodGet)
+	p.router.HandleFunc(platform.StorePath, p.write).Methods(http.MethodPut)
+	p.router.HandleFunc(platform.HostsPath, p.listHosts).Methods(http.MethodGet)
+	p.router.HandleFunc(platform.HostsPath+"/{id}/reboot", p.reboot).Methods(http.MethodPost)
+	p.controlRoutes()
+	return p
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.router.ServeHTTP(w, r) }
+
+// SetFaults replaces all switches.
+func (p *Platform) SetFaults(f PlatformFaults) error {
+	prefixes, err := parseSources(f.CutSources)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	p.sources = prefixes
+	close(p.faultsChanged)
+	p.faultsChanged = make(chan struct{})
+	return nil
+}
+
+// Counters returns the counters.
+func (p *Platform) Counters() PlatformCounters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counters
+}
+
+func parseSources(sources []string) ([]netip.Prefix, error) {
+	prefixes := make([]netip.Prefix, 0, len(sources))
+	for _, s := range sources {
+		if address, err := netip.ParseAddr(s); err == nil {
+			prefixes = append(prefixes, netip.PrefixFrom(address, address.BitLen()))
+			continue
+		}
+		prefix, err := netip.ParsePrefix(s)
+		if err != nil {
+			return nil, errors.Wrapf(err, "source %q", s)
+		}
+		prefixes = append(prefixes, prefix)
+	}
+	return prefixes, nil
+}
+
+// enter counts a call, applies the first half of the delay and returns the faults. It aborts cut calls.
+func (p *Platform) enter(r *http.Request, count func(c *PlatformCounters)) PlatformFaults {
+	p.mu.Lock()
+	p.counters.Calls++
+	count(&p.counters)
+	faults := p.faults
+	p.mu.Unlock()
+	p.abortIfCut(r)
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond / 2)
+	return faults
+}
+
+// leave applies the second half of the delay and aborts the call if it was cut meanwhile.
+func (p *Platform) leave(r *http.Request, faults PlatformFaults) {
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond / 2)
+	p.abortIfCut(r)
+}
+
+func (p *Platform) abortIfCut(r *http.Request) {
+	p.mu.Lock()
+	cut := p.faults.Outage || p.isCut(r)
+	p.mu.Unlock()
+	if cut {
+		p.drop()
+	}
+}
+
+// drop ends the call without an answer.
+func (p *Platform) drop() {
+	p.mu.Lock()
+	p.counters.Dropped++
+	p.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
+// isCut is called with mu held.
+func (p *Platform) isCut(r *http.Request) bool {
+	if slices.Contains(p.faults.CutClients, r.Header.Get(platform.ClientHeader)) {
+		return true
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	address, err := netip.ParseAddr(host)
+	return err == nil && slices.ContainsFunc(p.sources, func(x netip.Prefix) bool { return x.Contains(address) })
+}
+
+func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	if query.Has("after") {
+		p.watch(w, r)
+		return
+	}
+	faults := p.enter(r, func(c *PlatformCounters) { c.Reads++ })
+	entry, _ := p.store.get(query.Get("key"))
+	p.leave(r, faults)
+	writeEntry(w, entry)
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a number", http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	faults := p.enter(r, func(c *PlatformCounters) { c.Watches++ })
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	for {
+		p.mu.Lock()
+		interrupt := p.faultsChanged
+		p.mu.Unlock()
+		p.abortIfCut(r)
+		entry := p.store.watch(ctx, query.Get("key"), after, interrupt)
+		if entry.Revision > after {
+			p.leave(r, faults)
+			writeEntry(w, entry)
+			return
+		}
+		if ctx.Err() != nil {
+			p.leave(r, faults)
+			writeCode(w, http.StatusOK, platform.CodeUnchanged)
+			return
+		}
+	}
+}
+
+func (p *Platform) write(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	revision, err := strconv.ParseUint(query.Get("revision"), 10, 64)
+	if err != nil {
+		http.Error(w, "revision is not a number", http.StatusBadRequest)
+		return
+	}
+	value, err := readBody(w, r, platform.MaxValueBytes+1)
+	if err != nil {
+		return
+	}
+	faults := p.enter(r, func(c *PlatformCounters) { c.Writes++ })
+	updated, err := p.store.compareAndSwap(query.Get("key"), revision, value)
+	if p.loseWriteAnswer() {
+		p.drop()
+	}
+	p.leave(r, faults)
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		writeCode(w, http.StatusConflict, platform.CodeConflict)
+	case errors.Is(err, platform.ErrTooLarge):
+		writeCode(w, http.StatusRequestEntityTooLarge, platform.CodeTooLarge)
+	default:
+		w.Header().Set(platform.RevisionHeader, strconv.FormatUint(updated, 10))
+		writeCode(w, http.StatusOK, platform.CodeOK)
+	}
+}
+
+func (p *Platform) loseWriteAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseWriteAnswers == 0 {
+		return false
+	}
+	p.faults.LoseWriteAnswers--
+	return true
+}
+
+func writeEntry(w http.ResponseWriter, entry platform.Entry) {
+	if entry.Revision == 0 {
+		writeCode(w, http.StatusNotFound, platform.CodeNotFound)
+		return
+	}
+	w.Header().Set(platform.RevisionHeader, strconv.FormatUint(entry.Revision, 10))
+	w.Header().Set(platform.CodeHeader, string(platform.CodeOK))
+	w.Header().Set("Content-Length", strconv.Itoa(len(entry.Value)))
+	_, _ = w.Write(entry.Value)
+}
+
+func writeCode(w http.ResponseWriter, status int, code platform.Code) {
+	w.Header().Set(platform.CodeHeader, string(code))
+	w.WriteHeader(status)
+}
+
+// listHosts answers with the list as it was before the lag.
+func (p *Platform) listHosts(w http.ResponseWriter, r *http.Request) {
+	faults := p.enter(r, func(c *PlatformCounters) { c.Hosts++ })
+	list := p.hosts.at(time.Now().Add(-time.Duration(faults.HostListLagMS) * time.Millisecond))
+	p.leave(r, faults)
+	w.Header().Set(platform.CodeHeader, string(platform.CodeOK))
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/testbed/standin/platform_control.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"citrongauge.example/citrongauge/platform"
+)
+
+// rebootTimeout bounds the call by which the platform tells an upstream stand-in to reboot.
+const rebootTimeout = 2 * time.Second
+
+// rebootClient uses no proxy.
+var rebootClient = &http.Client{Transport: &http.Transport{}}
+
+// maxControlBytes bounds the bodies of calls under /control.
+const maxControlBytes = 1 << 20
+
+func (p *Platform) controlRoutes() {
+	p.router.HandleFunc("/control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults PlatformFaults
+		if !decode(w, r, &faults) {
+			return
+		}
+		if err := p.SetFaults(faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	}).Methods(http.MethodPut)
+	p.router.HandleFunc("/control/faults", func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		faults := p.faults
+		p.mu.Unlock()
+		encode(w, faults)
+	}).Methods(http.MethodGet)
+	p.router.HandleFunc("/control/counters", func(w http.ResponseWriter, r *http.Request) {
+		encode(w, p.Counters())
+	}).Methods(http.MethodGet)
+	p.router.HandleFunc("/control/hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		var host Host
+		if decode(w, r, &host) {
+			p.SetHost(mux.Vars(r)["id"], host)
+		}
+	}).Methods(http.MethodPut)
+}
+
+// SetHost adds or changes a host of the host list.
+func (p *Platform) SetHost(id string, host Host) {
+	p.hosts.update(time.Now(), id, func(h *Host, _ bool) bool {
+		*h = host
+		return true
+	})
+}
+
+// reboot takes the host out of the list, tells its upstream, and returns it after RebootMS.
+func (p *Platform) reboot(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	faults := p.enter(r, func(c *PlatformCounters) { c.Reboots++ })
+	var address string
+	started := false
+	known := p.hosts.update(time.Now(), id, func(h *Host, known bool) bool {
+		if known && h.State != platform.HostGone {
+			h.State = platform.HostGone
+			address = h.Upstream
+			started = true
+		}
+		return known
+	})
+	if started {
+		pause := time.Duration(faults.RebootMS) * time.Millisecond
+		go tellReboot(address, pause)
+		time.AfterFunc(pause, func() { p.returnHost(id) })
+	}
+	p.leave(r, faults)
+	if !known {
+		writeCode(w, http.StatusNotFound, platform.CodeNotFound)
+		return
+	}
+	writeCode(w, http.StatusOK, platform.CodeOK)
+}
+
+func (p *Platform) returnHost(id string) {
+	p.hosts.update(time.Now(), id, func(h *Host, _ bool) bool {
+		h.State = platform.HostLive
+		return true
+	})
+}
+
+func tellReboot(address string, pause time.Duration) {
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), rebootTimeout)
+	defer cancel()
+	body, _ := json.Marshal(RebootRequest{PauseMS: pause.Milliseconds(), KeepDrain: true})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/control/reboot", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	response, err := rebootClient.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// readBody reads at most limit bytes; what is beyond is dropped with the connection.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit))
+	if err != nil {
+		http.Error(w, "the body could not be read", http.StatusBadRequest)
+	}
+	return body, err
+}
+
+// decode reads a JSON body strictly and answers 400 if it is malformed.
+func decode(w http.ResponseWriter, r *http.Request, target any) bool {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxControlBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func encode(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/upstream/http.go
@@ -0,0 +1,190 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// CallTimeout bounds every call in addition to its context. Result may take this long on top of its wait.
+const CallTimeout = 2 * time.Second
+
+// maxConnections is the number of connections to one upstream; an upstream accepts 64.
+const maxConnections = 64
+
+// NewTransport returns a transport for clients of any number of upstreams.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		MaxConnsPerHost:     maxConnections,
+		MaxIdleConnsPerHost: maxConnections,
+		MaxIdleConns:        1024,
+		IdleConnTimeout:     30 * time.Second,
+	}
+}
+
+// HTTP is a Client over HTTP. It is safe for concurrent use.
+type HTTP struct {
+	base   string
+	client *http.Client
+}
+
+var _ Client = (*HTTP)(nil)
+
+// NewHTTP returns a client of the upstream at address (IP:port).
+func NewHTTP(address string, transport http.RoundTripper) *HTTP {
+	return &HTTP{
+		base: "http://" + address + PathPrefix,
+		client: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Reserve implements Client.
+func (h *HTTP) Reserve(ctx context.Context, r Reservation) error {
+	_, err := h.command(ctx, OpReserve, r.AttemptID, r)
+	return err
+}
+
+// Start implements Client.
+func (h *HTTP) Start(ctx context.Context, t Task) error {
+	_, err := h.command(ctx, OpStart, t.AttemptID, t)
+	return err
+}
+
+// Result implements Client.
+func (h *HTTP) Result(ctx context.Context, attemptID string, wait time.Duration) (Attempt, error) {
+	body := Call{AttemptID: attemptID, WaitMS: wait.Milliseconds()}
+	return h.answer(ctx, OpResult, attemptID, body, CallTimeout+max(0, wait))
+}
+
+// Renew implements Client.
+func (h *HTTP) Renew(ctx context.Context, attemptIDs []string) ([]string, error) {
+	reply, err := h.command(ctx, OpRenew, "", Call{AttemptIDs: attemptIDs})
+	return reply.Unknown, err
+}
+
+// Release implements Client.
+func (h *HTTP) Release(ctx context.Context, attemptID string) error {
+	_, err := h.command(ctx, OpRelease, attemptID, Call{AttemptID: attemptID})
+	return err
+}
+
+// Stop implements Client.
+func (h *HTTP) Stop(ctx context.Context, attemptID string, checkpoint bool) (Attempt, error) {
+	return h.answer(ctx, OpStop, attemptID, Call{AttemptID: attemptID, Checkpoint: checkpoint}, CallTimeout)
+}
+
+// Throttle implements Client.
+func (h *HTTP) Throttle(ctx context.Context, attemptID string, part float64) error {
+	_, err := h.command(ctx, OpThrottle, attemptID, Call{AttemptID: attemptID, Part: part})
+	return err
+}
+
+// Fence implements Client.
+func (h *HTTP) Fence(ctx context.Context, requestID string) (FenceResult, error) {
+	reply, err := h.command(ctx, OpFence, requestID, Call{RequestID: requestID})
+	if err != nil {
+		return FenceResult{}, err
+	}
+	if reply.Attempt == nil {
+		return FenceResult{}, errors.Wrap(ErrUnreachable, "answer without an attempt")
+	}
+	attempt, err := reply.verify(reply.Attempt.AttemptID)
+	return FenceResult{Attempt: attempt, Uptime: reply.UptimeNS}, err
+}
+
+// Status implements Client.
+func (h *HTTP) Status(ctx context.Context) (Status, error) {
+	reply, err := h.command(ctx, OpStatus, "", Call{})
+	if err != nil {
+		return Status{}, err
+	}
+	if reply.Status == nil {
+		return Status{}, errors.Wrap(ErrUnreachable, "answer without a status")
+	}
+	return *reply.Status, nil
+}
+
+// Drain implements Client.
+func (h *HTTP) Drain(ctx context.Context, epoch uint64, stop bool) error {
+	_, err := h.command(ctx, OpDrain, "", Call{Epoch: epoch, Stop: stop})
+	return err
+}
+
+// command performs a call without a task's answer. Whatever is not a certain answer to it is ErrUnreachable.
+func (h *HTTP) command(ctx context.Context, op Op, subject string, body any) (Reply, error) {
+	reply, err := h.call(ctx, op, subject, body, CallTimeout)
+	if errors.Is(err, ErrIncomplete) || errors.Is(err, ErrMismatched) {
+		return Reply{}, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	return reply, err
+}
+
+// answer performs a call that returns a task's answer.
+func (h *HTTP) answer(ctx context.Context, op Op, attemptID string, body Call, timeout time.Duration) (Attempt, error) {
+	reply, err := h.call(ctx, op, attemptID, body, timeout)
+	if err != nil {
+		return Attempt{}, err
+	}
+	return reply.verify(attemptID)
+}
+
+func (h *HTTP) call(ctx context.Context, op Op, subject string, body any, timeout time.Duration) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	data, err := h.exchange(ctx, op, body)
+	if err != nil {
+		return Reply{}, err
+	}
+	var reply Reply
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return Reply{}, errors.Wrap(ErrIncomplete, err.Error())
+	}
+	if reply.Op != op || reply.Subject != subject {
+		return Reply{}, errors.Wrapf(ErrMismatched, "asked for %s %q, got %s %q", op, subject, reply.Op, reply.Subject)
+	}
+	if reply.Code == CodeOK {
+		return reply, nil
+	}
+	if err := certain[reply.Code]; err != nil {
+		return Reply{}, err
+	}
+	return Reply{}, errors.Wrapf(ErrUnreachable, "code %q", reply.Code)
+}
+
+// exchange sends a request and returns the body of its answer. A body that was cut short is ErrIncomplete.
+func (h *HTTP) exchange(ctx context.Context, op Op, body any) ([]byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+string(op), bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, MaxBodyBytes+1))
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, errors.Wrap(ErrIncomplete, "connection closed in the answer")
+	case err != nil:
+		return nil, errors.Wrap(ErrUnreachable, err.Error())
+	case response.StatusCode != http.StatusOK:
+		return nil, errors.Wrapf(ErrUnreachable, "status %d", response.StatusCode)
+	case len(answer) > MaxBodyBytes:
+		return nil, errors.Wrapf(ErrIncomplete, "answer is larger than %d bytes", MaxBodyBytes)
+	}
+	return answer, nil
+}
