--- a/bundle/types.go
+++ b/bundle/types.go
@@ -1,7 +1,7 @@
 // Package bundle defines the operators' versioned bundle: availability zones, hosts, pools, queues, teams, keys,
 // shares, caps and budgets. It parses a bundle strictly, validates it, signs it and compares two of them.
 //
-// A bundle is immutable once signed. The entry hosts read it only through Parse and Verify, the same code that the
+// A bundle is immutable once signed. The entry hosts read it only through Parse and VerifySigned, the same code that the
 // operators' tool uses to check it.
 package bundle
 
@@ -41,8 +41,9 @@
 	OutOfService bool `json:"out_of_service,omitempty"`
 	// RunningWork says what becomes of running work when the zone is taken out; WorkFinish by default.
 	RunningWork RunningWork `json:"running_work,omitempty"`
-	// RampMS is the time over which a returning zone takes up its full load, in milliseconds.
-	RampMS int64 `json:"ramp_ms,omitempty"`
+	// RampMS is the time over which a returning zone takes up its full load, in milliseconds. An explicit 0 differs
+	// from the default, so the canonical form always has the field.
+	RampMS int64 `json:"ramp_ms"`
 }
 
 // RunningWork says what becomes of running work when its zone is taken out, its key is withdrawn or its team's
