--- /dev/null
+++ b/requestid/recover.go
@@ -0,0 +1,131 @@
+package requestid
+
+import (
+	"sort"
+	"time"
+
+	"citrongauge.example/citrongauge/control"
+	"citrongauge.example/citrongauge/result"
+	"citrongauge.example/citrongauge/upstream"
+)
+
+// FenceAnswer is an upstream's answer to Fence, or the error of the call.
+type FenceAnswer struct {
+	Result upstream.FenceResult
+	Err    error
+}
+
+// Targets returns the upstreams at which an ID of a cleared issuer must be fenced before Recover, those of the
+// pool of the request's queue. If the issuer is not known to be cleared there is nothing to fence, and the outcome
+// is result.OwnerUnreachable. The fences must be sent after the record was read.
+func Targets(id ID, record *control.Record, pool string) (targets []string, outcome Outcome, fence bool) {
+	if !isCleared(id, record) {
+		return nil, Outcome{Code: result.OwnerUnreachable, Detail: "issued by host " + id.Issuer}, false
+	}
+	for _, a := range record.Assignments {
+		if a.Pool == pool {
+			targets = append(targets, a.Host)
+		}
+	}
+	return targets, Outcome{}, true
+}
+
+// isCleared says that the issuer can start nothing any more. The issuer was in the roster of the ID's revision, so
+// a later record without it was made after it was cleared. An older record may not name it yet.
+func isCleared(id ID, record *control.Record) bool {
+	if record.Revision < id.Revision {
+		return false
+	}
+	if _, ok := record.Member(id.Issuer); ok {
+		return false
+	}
+	for _, m := range record.Departed {
+		if m.ID == id.Issuer {
+			return false
+		}
+	}
+	return true
+}
+
+// Recover decides what became of a request whose issuer is gone. record is the one that Targets was called with,
+// answers holds those of its upstreams, and now is a time after the last of them on this host's wall clock.
+//
+// The request was not run if every upstream of the pool proves that it never ran it. An upstream cannot prove
+// that if it may have been restarted since the ID was issued, and the list of upstreams proves nothing if the
+// assignments have changed since.
+func Recover(id ID, now time.Time, record *control.Record, pool string, answers map[string]FenceAnswer) Outcome {
+	targets, outcome, fence := Targets(id, record, pool)
+	if !fence {
+		return outcome
+	}
+	sort.Strings(targets)
+	for _, host := range targets {
+		if outcome, ran := ranOutcome(host, answers[host]); ran {
+			return outcome
+		}
+	}
+	age := max(0, now.Sub(id.Issued)) + ClockError
+	if age >= Retention+ClockError {
+		return Outcome{Code: result.RequestIDForgotten}
+	}
+	if record.PoolSeq != id.PoolSeq {
+		return lost("the assignments of upstreams have changed since the ID was issued")
+	}
+	if len(targets) == 0 {
+		return lost("the pool has no upstreams")
+	}
+	for _, host := range targets {
+		if reason := doubtAbout(answers, host, age); reason != "" {
+			return lost("upstream " + host + " " + reason)
+		}
+	}
+	return Outcome{Code: result.RequestIDNotRun}
+}
+
+func lost(detail string) Outcome {
+	return Outcome{Code: result.OwnerLost, Detail: detail}
+}
+
+// doubtAbout returns why an upstream does not prove that it never ran the request, or an empty string.
+func doubtAbout(answers map[string]FenceAnswer, host string, age time.Duration) string {
+	answer, ok := answers[host]
+	if !ok || answer.Err != nil {
+		return "did not answer"
+	}
+	if answer.Result.Uptime <= age {
+		return "may have been restarted since the ID was issued"
+	}
+	switch answer.Result.Attempt.State {
+	case upstream.StateUnseen, upstream.StateLapsed:
+		return ""
+	default:
+		return "reports the state " + string(answer.Result.Attempt.State)
+	}
+}
+
+// ranOutcome returns the outcome if the upstream has run the request.
+func ranOutcome(host string, answer FenceAnswer) (Outcome, bool) {
+	if answer.Err != nil {
+		return Outcome{}, false
+	}
+	attempt := answer.Result.Attempt
+	outcome := Outcome{Detail: attempt.Message, Upstream: host}
+	switch attempt.State {
+	case upstream.StateRunning:
+		outcome.Code = result.Pending
+	case upstream.StateDone:
+		outcome.Code = result.OK
+		outcome.Answer = attempt.Answer
+	case upstream.StateFailed:
+		outcome.Code = result.TaskFailed
+	case upstream.StateStopped:
+		outcome.Code = result.CancelledRunning
+	case upstream.StateCheckpointed:
+		outcome.Code = result.StoppedByDrain
+	case upstream.StateLeaseLapsed:
+		outcome.Code = result.StoppedLeaseLapse
+	default:
+		return Outcome{}, false
+	}
+	return outcome, true
+}
--- /dev/null
+++ b/requestid/requestid_test.go
@@ -0,0 +1,175 @@
+package requestid
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/control"
+	"citrongauge.example/citrongauge/result"
+	"citrongauge.example/citrongauge/upstream"
+)
+
+var (
+	start  = time.UnixMilli(1_800_000_000_000)
+	secret = []byte("0123456789abcdef0123456789abcdef")
+)
+
+func issue(t testing.TB, now time.Time, record *control.Record, self string) ID {
+	issuer, err := NewIssuer(self, start, secret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ids, err := issuer.Issue(now, record, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ids[0]
+}
+
+func codeOf(err error) result.Code {
+	var coded *result.Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return 0
+}
+
+func recordWith(issuer string) *control.Record {
+	return &control.Record{
+		Revision:    1 << 33,
+		PoolSeq:     1 << 33,
+		Roster:      []control.Member{{ID: issuer}},
+		Assignments: []control.Assignment{{Host: "u1", Pool: "p"}, {Host: "u2", Pool: "p"}, {Host: "u3", Pool: "q"}},
+	}
+}
+
+// Guards against IDs that are forged or altered, too long, or issued without a place in the roster.
+func TestIssueAndParse(t *testing.T) {
+	is := is.New(t)
+	self := strings.Repeat("h", maxIssuerBytes)
+	id := issue(t, start.Add(300*24*time.Hour), recordWith(self), self)
+	is.True(len(id.String()) <= MaxBytes)
+	back, err := Parse(id.String(), secret)
+	is.NoErr(err)
+	is.True(back.Issued.Equal(id.Issued))
+	back.Issued = id.Issued
+	is.Equal(back, id)
+	for i := range id.text {
+		altered := id.text[:i] + string(id.text[i]^1) + id.text[i+1:]
+		_, err := Parse(altered, secret)
+		is.Equal(codeOf(err), result.RequestIDInvalid)
+	}
+	_, err = Parse(id.text, []byte("another secret of the fleet"))
+	is.Equal(codeOf(err), result.RequestIDInvalid)
+	issuer, err := NewIssuer("other", start, secret)
+	is.NoErr(err)
+	_, err = issuer.Issue(start, recordWith(self), 1)
+	is.Equal(codeOf(err), result.NoPermission)
+}
+
+// Guards against a second run of an ID that is repeated, cancelled, forgotten or used with another request.
+func TestTable(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("h", start, 3, 10)
+	id := issue(t, start, recordWith("h"), "h")
+	e, first, err := table.Begin(start, id, Digest{1})
+	is.NoErr(err)
+	is.True(first)
+	_, first, err = table.Begin(start.Add(time.Hour), id, Digest{1}) // still running
+	is.NoErr(err)
+	is.True(!first)
+	_, _, err = table.Begin(start, id, Digest{2})
+	is.Equal(codeOf(err), result.RequestIDMismatch)
+	is.Equal(e.Outcome().Code, result.Pending)
+	end := start.Add(time.Hour)
+	e.Finish(end, Outcome{Code: result.OK, Answer: []byte("12345678")})
+	again, first, err := table.Begin(end.Add(Retention-1), id, Digest{1})
+	is.NoErr(err)
+	is.True(!first)
+	<-again.Done()
+	is.Equal(string(again.Outcome().Answer), "12345678")
+	_, _, err = table.Begin(end.Add(Retention), id, Digest{1})
+	is.Equal(codeOf(err), result.RequestIDForgotten)
+	is.Equal(table.Len(), 0)
+
+	now := end.Add(2 * Retention)
+	early := issue(t, now, recordWith("h"), "h")
+	_, err = table.Cancel(now, early)
+	is.NoErr(err)
+	e, first, err = table.Begin(now, early, Digest{7})
+	is.NoErr(err)
+	is.True(!first)
+	is.Equal(e.Outcome().Code, result.CancelledBeforeRun)
+	_, _, err = table.Begin(now, issue(t, now, recordWith("other"), "other"), Digest{})
+	is.Equal(codeOf(err), result.OwnerUnreachable)
+	for range 2 {
+		e, _, err = table.Begin(now, issue(t, now, recordWith("h"), "h"), Digest{})
+		is.NoErr(err)
+		e.Finish(now, Outcome{Code: result.OK, Answer: []byte("12345678")})
+	}
+	is.True(table.answers <= 10)
+	_, _, err = table.Begin(now, issue(t, now, recordWith("h"), "h"), Digest{})
+	is.Equal(codeOf(err), result.QueueFull)
+}
+
+// Guards against "not run" without proof. Each case takes one part of the proof away.
+func TestRecover(t *testing.T) {
+	is := is.New(t)
+	record := recordWith("h")
+	id := issue(t, start, record, "h")
+	now := start.Add(time.Minute)
+	unseen := FenceAnswer{Result: upstream.FenceResult{
+		Attempt: upstream.Attempt{State: upstream.StateUnseen}, Uptime: time.Minute + ClockError + 1}}
+	try := func(change func(r *control.Record, a map[string]FenceAnswer)) result.Code {
+		r := *record
+		r.Roster, r.Revision = nil, r.Revision+1
+		answers := map[string]FenceAnswer{"u1": unseen, "u2": unseen}
+		change(&r, answers)
+		return Recover(id, now, &r, "p", answers).Code
+	}
+	state := func(s upstream.State) FenceAnswer {
+		a := unseen
+		a.Result.Attempt.State = s
+		return a
+	}
+	is.Equal(try(func(*control.Record, map[string]FenceAnswer) {}), result.RequestIDNotRun)
+	is.Equal(try(func(r *control.Record, _ map[string]FenceAnswer) { r.PoolSeq++ }), result.OwnerLost)
+	is.Equal(try(func(r *control.Record, _ map[string]FenceAnswer) { r.Roster = record.Roster }), result.OwnerUnreachable)
+	is.Equal(try(func(r *control.Record, _ map[string]FenceAnswer) { r.Departed = record.Roster }), result.OwnerUnreachable)
+	is.Equal(try(func(r *control.Record, _ map[string]FenceAnswer) { r.Revision -= 2 }), result.OwnerUnreachable)
+	is.Equal(try(func(_ *control.Record, a map[string]FenceAnswer) { delete(a, "u2") }), result.OwnerLost)
+	is.Equal(try(func(_ *control.Record, a map[string]FenceAnswer) {
+		a["u1"] = FenceAnswer{Err: upstream.ErrUnreachable}
+	}), result.OwnerLost)
+	is.Equal(try(func(_ *control.Record, a map[string]FenceAnswer) {
+		young := unseen
+		young.Result.Uptime--
+		a["u1"] = young
+	}), result.OwnerLost)
+	for s, code := range map[upstream.State]result.Code{
+		upstream.StateLapsed:       result.RequestIDNotRun,
+		upstream.StateReserved:     result.OwnerLost,
+		upstream.StateRunning:      result.Pending,
+		upstream.StateDone:         result.OK,
+		upstream.StateFailed:       result.TaskFailed,
+		upstream.StateStopped:      result.CancelledRunning,
+		upstream.StateCheckpointed: result.StoppedByDrain,
+		upstream.StateLeaseLapsed:  result.StoppedLeaseLapse,
+	} {
+		got := try(func(_ *control.Record, a map[string]FenceAnswer) {
+			a["u1"] = FenceAnswer{Err: upstream.ErrUnreachable}
+			if s == upstream.StateLapsed {
+				a["u1"] = unseen
+			}
+			a["u2"] = state(s)
+		})
+		is.Equal(got, code)
+	}
+	now = start.Add(Retention)
+	unseen.Result.Uptime = time.Hour
+	is.Equal(try(func(*control.Record, map[string]FenceAnswer) {}), result.RequestIDForgotten)
+}
