Add the daemon: control loop, tasks, peers, gate, shutdown

Cause: the packages have to work together in one process on each entry host. Ruled out: checking a repeat like a new request. A repeat of a request that runs would then be refused as not run, for instance after its key was withdrawn; repeats are answered from the first submission, and a refusal uses the request ID up. Change: package daemon and command citrongauge.

--- a/admission/release.go
+++ b/admission/release.go
@@ -286,14 +286,15 @@
 func (q *teamQueue) returning() vector {
 	var sum vector
 	for t := range q.running {
-		if t.preempted() {
+		if t.Preempted() {
 			sum = sum.add(toVector(t.Request.Size))
 		}
 	}
 	return sum
 }
 
-func (t *Ticket) preempted() bool {
+// Preempted states whether the request was asked to give its capacity back since it was last released.
+func (t *Ticket) Preempted() bool {
 	select {
 	case <-t.Preempt:
 		return true
@@ -307,7 +308,7 @@
 func youngestPreemptible(q *teamQueue) []*Ticket {
 	var list []*Ticket
 	for t := range q.running {
-		if t.Request.Preemptible && !t.preempted() {
+		if t.Request.Preemptible && !t.Preempted() {
 			list = append(list, t)
 		}
 	}
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -210,8 +210,8 @@
 	}
 }
 
-// Requeue puts a dispatched request that was not started back to the front of its queue and pauses the pool, since
-// its upstreams had no room. The caller has released the slots.
+// Requeue puts a dispatched request whose slots were released back to the front of its queue and pauses the pool, since
+// its upstreams had no room or are needed for others. Only the goroutine that waits on Ready and Preempt may call it.
 func (s *Scheduler) Requeue(now time.Time, t *Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -223,6 +223,7 @@
 	q.use = subSize(q.use, t.Request.Size)
 	t.state = ticketWaiting
 	t.Ready = make(chan struct{})
+	t.Preempt = make(chan struct{})
 	if t.Request.Urgent {
 		q.urgent = append([]*Ticket{t}, q.urgent...)
 	} else {
@@ -269,27 +270,37 @@
 	t.Request.Size = measured
 }
 
-// Expired removes and returns waiting requests whose deadline has passed.
-func (s *Scheduler) Expired(now time.Time) []*Ticket {
+// TeamWaiting is what waits of one team, over all pools.
+type TeamWaiting struct {
+	Team  string
+	Slots int
+	// Smallest is the size of the smallest request at the head of a queue, in slots.
+	Smallest int
+}
+
+// Waiting returns what waits, by team.
+func (s *Scheduler) Waiting() []TeamWaiting {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var expired []*Ticket
-	for _, q := range s.queues {
-		for _, list := range []*[]*Ticket{&q.urgent, &q.normal} {
-			kept := (*list)[:0]
-			for _, t := range *list {
-				if now.Before(t.Request.Deadline) {
-					kept = append(kept, t)
-					continue
-				}
-				t.state = ticketEnded
-				q.waiting = subSize(q.waiting, t.Request.Size)
-				expired = append(expired, t)
-			}
-			*list = kept
+	teams := make(map[string]TeamWaiting)
+	for key, q := range s.queues {
+		head := q.head()
+		if head == nil {
+			continue
+		}
+		w := teams[key.Team]
+		w.Team = key.Team
+		w.Slots += q.waiting.Slots
+		if w.Smallest == 0 || head.Request.Size.Slots < w.Smallest {
+			w.Smallest = head.Request.Size.Slots
 		}
+		teams[key.Team] = w
+	}
+	list := make([]TeamWaiting, 0, len(teams))
+	for _, w := range teams {
+		list = append(list, w)
 	}
-	return expired
+	return list
 }
 
 // Loads returns this host's load in a stable order, without empty entries.
--- a/bundle/index.go
+++ b/bundle/index.go
@@ -83,6 +83,16 @@
 	return owner.team, owner.key
 }
 
+// KeyByHash returns the team and the entry of the key with the given hash; nil if no team has it. It is for keys
+// that were matched before, to see whether they were withdrawn since.
+func (x *Index) KeyByHash(hash string) (*Team, *Key) {
+	owner, ok := x.keys[hash]
+	if !ok {
+		return nil, nil
+	}
+	return owner.team, owner.key
+}
+
 // MayUse states whether a team may use a queue.
 func (q *Queue) MayUse(team string) bool {
 	if len(q.Teams) == 0 {
--- a/cmd/citrongauge/main.go
+++ b/cmd/citrongauge/main.go
@@ -1,4 +1,74 @@
 // Command citrongauge is the daemon that runs on every entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"citrongauge.example/citrongauge/daemon"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:    "citrongauge",
+		Usage:   "entry host daemon of the fleet capacity and maintenance manager",
+		Version: daemon.Version,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings, print them with defaults, and exit"},
+		},
+		EnableShellCompletion: true,
+		Action:                run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "citrongauge:", err)
+		os.Exit(1)
+	}
+}
+
+func run(_ context.Context, command *cli.Command) error {
+	settings, err := daemon.LoadSettings(command.String("settings"))
+	if err != nil {
+		return err
+	}
+	if command.Bool("check") {
+		return printSettings(settings)
+	}
+	d, err := daemon.New(settings, os.Stderr)
+	if err != nil {
+		return err
+	}
+	ctx, force := shutdownContexts()
+	return d.Run(ctx, force)
+}
+
+func printSettings(settings daemon.Settings) error {
+	if _, err := settings.ReadSecret(); err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(settings)
+}
+
+// shutdownContexts returns a context that ends at the first SIGTERM or SIGINT, which asks for a graceful shutdown,
+// and one that ends at the second, which cuts it short.
+func shutdownContexts() (graceful, force context.Context) {
+	graceful, stop := context.WithCancel(context.Background())
+	force, stopNow := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		stopNow()
+	}()
+	return graceful, force
+}
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,5 @@
+package daemon
+
+import "github.com/gorilla/mux"
+
+func (d *Daemon) registerAdmin(_ *mux.Router) {}
--- /dev/null
+++ b/daemon/controlloop.go
@@ -0,0 +1,259 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/bundle"
+	"citrongauge.example/citrongauge/control"
+	"citrongauge.example/citrongauge/peer"
+	"citrongauge.example/citrongauge/platform"
+)
+
+const eventQueueLength = 4096
+
+// controlLoop owns the control core of one incarnation. Its goroutine handles one event after another; calls to the
+// store run on goroutines of their own and come back as events.
+type controlLoop struct {
+	core   *control.Core
+	store  platform.Store
+	node   *peer.Node
+	verify func(signed []byte) (*bundle.Index, error)
+	log    *log.Logger
+	events chan control.Event
+	calls  chan func(now time.Time)
+	state  atomic.Pointer[state]
+	// neighbours maps members to the time of the last heartbeat sent to them. It belongs to the goroutine.
+	neighbours map[control.Member]time.Time
+	waiting    map[string]func(control.WriteResult)
+	// lastIndex is the index of the last verified bundle. It belongs to the goroutine.
+	lastIndex *bundle.Index
+
+	onAdopted func(now time.Time, s *state)
+	onEvicted func()
+	onLeft    func()
+	onTick    func(now time.Time)
+}
+
+// recordMessage carries a control record with its bundle.
+type recordMessage struct {
+	Record []byte `cbor:"1,keyasint"`
+	Bundle []byte `cbor:"2,keyasint"`
+}
+
+// bundleKey is the store's key of a bundle version.
+func bundleKey(version uint64) string {
+	return "bundles/" + strconv.FormatUint(version, 10)
+}
+
+// post queues an event. It returns false if the queue is full; heartbeats and reads repeat.
+func (l *controlLoop) post(ev control.Event) bool {
+	select {
+	case l.events <- ev:
+		return true
+	default:
+		return false
+	}
+}
+
+// call runs f on the control goroutine and waits for it.
+func (l *controlLoop) call(ctx context.Context, f func(now time.Time)) error {
+	done := make(chan struct{})
+	select {
+	case l.calls <- func(now time.Time) { f(now); close(done) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run handles events until ctx ends.
+func (l *controlLoop) run(ctx context.Context) {
+	ticker := time.NewTicker(control.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-l.events:
+			l.step(ctx, ev)
+		case f := <-l.calls:
+			f(time.Now())
+		case <-ticker.C:
+			l.step(ctx, control.Tick{})
+			l.onTick(time.Now())
+		}
+	}
+}
+
+func (l *controlLoop) step(ctx context.Context, ev control.Event) {
+	now := time.Now()
+	for _, effect := range l.core.Step(now, ev) {
+		l.perform(ctx, now, effect)
+	}
+}
+
+func (l *controlLoop) perform(ctx context.Context, now time.Time, effect control.Effect) {
+	switch e := effect.(type) {
+	case control.ReadStore:
+		go l.read(ctx, e)
+	case control.WatchStore:
+		go l.watch(ctx, e)
+	case control.CompareAndSwap:
+		go l.compareAndSwap(ctx, e)
+	case control.SendHeartbeat:
+		l.neighbours[e.To] = now
+		l.node.Send(e.To.Address, e.To.ID, peer.TypeHeartbeat, e.Heartbeat)
+	case control.PushRecord:
+		l.push(e)
+	case control.Adopted:
+		l.adopt(now, e)
+	case control.Accepted:
+		l.log.Info("bundle accepted", "version", e.Version)
+	case control.Evicted:
+		l.log.Warn("evicted from the roster", "revision", e.Revision)
+		l.onEvicted()
+	case control.Left:
+		l.onLeft()
+	case control.Refused:
+		l.log.Warn("record refused", "from", e.From, "revision", e.Revision, "err", e.Err)
+	case control.WriteResult:
+		l.report(e)
+	}
+}
+
+func (l *controlLoop) report(e control.WriteResult) {
+	if f, ok := l.waiting[e.ID]; ok {
+		delete(l.waiting, e.ID)
+		f(e)
+	}
+}
+
+func (l *controlLoop) adopt(now time.Time, e control.Adopted) {
+	index := l.lastIndex
+	if e.Record.BundleVersion == 0 {
+		index = nil
+	} else if index == nil || index.Digest != e.Record.BundleDigest {
+		// The core verified the bundle before; an error here would be a fault of this program.
+		verified, err := l.verify(e.Bundle)
+		if err != nil {
+			l.log.Error("verified bundle could not be read", "version", e.Record.BundleVersion, "err", err)
+			return
+		}
+		index = verified
+	}
+	l.lastIndex = index
+	s := newState(e.Record, e.Bundle, index)
+	l.state.Store(s)
+	l.log.Info("record adopted", "revision", e.Record.Revision, "bundle", e.Record.BundleVersion)
+	l.onAdopted(now, s)
+}
+
+func (l *controlLoop) push(e control.PushRecord) {
+	encoded, err := control.EncodeRecord(*e.Record)
+	if err != nil {
+		l.log.Error("record not sent", "revision", e.Record.Revision, "err", err)
+		return
+	}
+	l.node.Send(e.To.Address, e.To.ID, peer.TypeRecord, recordMessage{Record: encoded, Bundle: e.Bundle})
+}
+
+func (l *controlLoop) read(ctx context.Context, e control.ReadStore) {
+	ctx, cancel := context.WithTimeout(ctx, control.StoreTimeout)
+	defer cancel()
+	entry, err := l.store.Get(ctx, control.StoreKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		l.post(control.StoreRead{ID: e.ID})
+		return
+	}
+	if err != nil {
+		l.post(control.StoreRead{ID: e.ID, Err: err})
+		return
+	}
+	snapshot, err := l.snapshot(ctx, entry, e.Known, e.KnownVersion)
+	l.post(control.StoreRead{ID: e.ID, Snapshot: snapshot, Err: err})
+}
+
+func (l *controlLoop) watch(ctx context.Context, e control.WatchStore) {
+	entry, err := l.store.Watch(ctx, control.StoreKey, e.Known)
+	if err != nil {
+		l.post(control.StoreWatched{ID: e.ID, Err: err})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, control.StoreTimeout)
+	defer cancel()
+	snapshot, err := l.snapshot(ctx, entry, e.Known, e.KnownVersion)
+	l.post(control.StoreWatched{ID: e.ID, Snapshot: snapshot, Err: err})
+}
+
+// snapshot decodes a stored record and reads its bundle if it is not known.
+func (l *controlLoop) snapshot(ctx context.Context, entry platform.Entry, known, knownVersion uint64) (control.Snapshot, error) {
+	s := control.Snapshot{StoreRevision: entry.Revision}
+	if entry.Revision == known {
+		return s, nil
+	}
+	record, err := control.DecodeRecord(entry.Value)
+	if err != nil {
+		return s, err
+	}
+	s.Record = &record
+	if record.BundleVersion == 0 || record.BundleVersion == knownVersion {
+		return s, nil
+	}
+	stored, err := l.store.Get(ctx, bundleKey(record.BundleVersion))
+	if err != nil {
+		return s, errors.Wrapf(err, "bundle %d", record.BundleVersion)
+	}
+	s.Bundle = stored.Value
+	return s, nil
+}
+
+func (l *controlLoop) compareAndSwap(ctx context.Context, e control.CompareAndSwap) {
+	ctx, cancel := context.WithTimeout(ctx, control.StoreTimeout)
+	defer cancel()
+	encoded, err := control.EncodeRecord(e.Record)
+	if err != nil {
+		l.log.Error("record not written", "revision", e.Record.Revision, "err", err)
+		l.post(control.CASAnswered{ID: e.ID, Outcome: control.CASConflict})
+		return
+	}
+	revision, err := l.store.CompareAndSwap(ctx, control.StoreKey, e.Expected, encoded)
+	l.post(control.CASAnswered{ID: e.ID, Outcome: casOutcome(err), StoreRevision: revision})
+}
+
+func casOutcome(err error) control.CASOutcome {
+	switch {
+	case err == nil:
+		return control.CASApplied
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrTooLarge):
+		return control.CASConflict
+	default:
+		return control.CASUnknown
+	}
+}
+
+// neighbourTimeout is the time after which a member that got no heartbeat is no neighbour any more.
+const neighbourTimeout = time.Second
+
+// currentNeighbours returns the members that heartbeats go to. It belongs to the control goroutine.
+func (l *controlLoop) currentNeighbours(now time.Time) []control.Member {
+	var members []control.Member
+	for m, at := range l.neighbours {
+		if now.Sub(at) > neighbourTimeout {
+			delete(l.neighbours, m)
+			continue
+		}
+		members = append(members, m)
+	}
+	return members
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,239 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ed25519"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"citrongauge.example/citrongauge/api"
+	"citrongauge.example/citrongauge/bundle"
+	"citrongauge.example/citrongauge/control"
+	"citrongauge.example/citrongauge/peer"
+	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/result"
+	"citrongauge.example/citrongauge/routing"
+	"citrongauge.example/citrongauge/upstream"
+)
+
+// Version is the version of this program.
+const Version = "0.1.0"
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	closeTimeout      = 5 * time.Second
+)
+
+// Daemon is an entry host.
+type Daemon struct {
+	settings  Settings
+	secret    []byte
+	operators map[string]ed25519.PublicKey
+	log       *log.Logger
+	metrics   *metrics
+	store     platform.Store
+	hosts     platform.HostList
+	node      *peer.Node
+	table     *routing.Table
+	budget    *routing.RetryBudget
+	inc       atomic.Pointer[incarnation]
+	ctx       context.Context
+	draining  atomic.Bool
+
+	transport http.RoundTripper
+	clientsMu sync.Mutex
+	clients   map[string]upstream.Client // by address
+}
+
+// New returns a daemon that logs to w. It starts to work in Run.
+func New(settings Settings, w io.Writer) (*Daemon, error) {
+	secret, err := settings.ReadSecret()
+	if err != nil {
+		return nil, err
+	}
+	operators, err := settings.OperatorKeys()
+	if err != nil {
+		return nil, err
+	}
+	level, err := log.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return nil, result.Errorf(result.SettingsInvalid, "log_level: %v", err)
+	}
+	logger := log.NewWithOptions(w, log.Options{
+		Level: level, Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
+	})
+	logger = logger.With("zone", settings.Zone)
+	store := platform.NewHTTP(settings.Platform, settings.Zone)
+	d := &Daemon{
+		settings: settings, secret: secret, operators: operators, log: logger, metrics: newMetrics(),
+		store: store, hosts: store,
+		table:  routing.New(settings.Zone, uint64(time.Now().UnixNano())),
+		budget: &routing.RetryBudget{}, transport: upstream.NewTransport(), clients: make(map[string]upstream.Client),
+	}
+	return d, nil
+}
+
+// Run works until ctx ends and then shuts down gracefully: it stops taking new requests, lets accepted ones end, and
+// leaves the roster. The end of force cuts that short.
+func (d *Daemon) Run(ctx, force context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.ctx = work
+	d.node = peer.New(work, peer.Options{
+		Identity: d.identity, Secret: d.secret, Handler: d, Log: d.log.With("component", "peer"), Registerer: d.metrics.registry,
+	})
+	inc, err := d.newIncarnation(work)
+	if err != nil {
+		return err
+	}
+	d.inc.Store(inc)
+	failed := make(chan error, 2)
+	public, err := d.serve(d.settings.Listen, d.routes(), failed)
+	if err != nil {
+		return err
+	}
+	defer closeServer(public)
+	peers, err := d.serve(d.settings.PeerListen, d.peerRoutes(), failed)
+	if err != nil {
+		return err
+	}
+	defer closeServer(peers)
+	inc.start()
+	d.log.Info("started", "component", "daemon", "host", inc.self.ID, "listen", d.settings.Listen, "peer_listen", d.settings.PeerListen)
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return err
+	}
+	d.shutdown(force)
+	return nil
+}
+
+func (d *Daemon) shutdown(force context.Context) {
+	d.draining.Store(true)
+	d.log.Info("shutting down", "component", "daemon", "limit_ms", d.settings.ShutdownMS)
+	ctx, cancel := context.WithTimeout(force, time.Duration(d.settings.ShutdownMS)*time.Millisecond)
+	defer cancel()
+	d.inc.Load().leave(ctx)
+	if ctx.Err() != nil {
+		d.log.Warn("shutdown cut short", "component", "daemon")
+	}
+	d.log.Info("stopped", "component", "daemon")
+}
+
+// replace starts a new incarnation after an eviction.
+func (d *Daemon) replace(old *incarnation) {
+	if d.draining.Load() {
+		return
+	}
+	next, err := d.newIncarnation(d.ctx)
+	if err != nil {
+		d.log.Error("no new incarnation", "component", "daemon", "err", err)
+		return
+	}
+	d.inc.Store(next)
+	d.node.Reset()
+	old.stop()
+	next.start()
+	d.log.Info("joining again", "component", "daemon", "host", next.self.ID, "before", old.self.ID)
+}
+
+func (d *Daemon) identity() peer.Identity {
+	self := d.inc.Load().self
+	return peer.Identity{ID: self.ID, Zone: self.Zone, Address: self.Address}
+}
+
+func (d *Daemon) serve(address string, handler http.Handler, failed chan<- error) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- errors.Wrap(err, address)
+		}
+	}()
+	return server, nil
+}
+
+func closeServer(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
+func (d *Daemon) peerRoutes() http.Handler {
+	router := mux.NewRouter()
+	router.Handle(peer.Path, d.node)
+	return router
+}
+
+func (d *Daemon) routes() http.Handler {
+	router := mux.NewRouter()
+	api.Register(router, d, d.settings.MaxRequestBytes)
+	d.registerAdmin(router)
+	router.Handle("/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
+	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	router.HandleFunc("/readyz", d.ready)
+	router.HandleFunc("/version", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, Version+"\n") })
+	return router
+}
+
+// ready tells the balancer whether to send requests here: the host has a bundle, may start work and is not shutting
+// down.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.draining.Load() {
+		http.Error(w, "shutting down", http.StatusServiceUnavailable)
+		return
+	}
+	_, permission := d.inc.Load().current()
+	if !permission.OK {
+		http.Error(w, permission.Reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, string(permission.Mode)+"\n")
+}
+
+func (d *Daemon) verifySigned(signed []byte) (*bundle.Index, error) {
+	b, err := bundle.VerifySigned(signed, d.operators)
+	if err != nil {
+		return nil, err
+	}
+	return bundle.NewIndex(b), nil
+}
+
+// verifyBundle checks a bundle for the control core.
+func (d *Daemon) verifyBundle(version uint64, digest [32]byte, signed []byte) (control.BundleInfo, error) {
+	index, err := d.verifySigned(signed)
+	if err != nil {
+		return control.BundleInfo{}, err
+	}
+	if index.Bundle.Version != version || index.Digest != digest {
+		return control.BundleInfo{}, result.Errorf(result.DigestMismatch, "bundle %d", version)
+	}
+	return control.BundleInfo{ServeFor: time.Duration(index.Bundle.Isolation.ServeForMS) * time.Millisecond}, nil
+}
+
+// upstreamClient returns the client of an upstream.
+func (d *Daemon) upstreamClient(_, address string) upstream.Client {
+	d.clientsMu.Lock()
+	defer d.clientsMu.Unlock()
+	client, ok := d.clients[address]
+	if !ok {
+		client = upstream.NewHTTP(address, d.transport)
+		d.clients[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/daemon/enforce.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+
+	"citrongauge.example/citrongauge/bundle"
+	"citrongauge.example/citrongauge/control"
+)
+
+// runningTask is a dispatched task that a change of the bundle may have to stop.
+type runningTask struct {
+	keyHash string
+	team    string
+	cancel  context.CancelFunc
+	// host returns the upstream on which the task was last permitted to start.
+	host func() string
+}
+
+// track registers a dispatched task until the returned function is called.
+func (inc *incarnation) track(t *runningTask) (untrack func()) {
+	inc.runningMu.Lock()
+	defer inc.runningMu.Unlock()
+	inc.running[t] = struct{}{}
+	return func() {
+		inc.runningMu.Lock()
+		defer inc.runningMu.Unlock()
+		delete(inc.running, t)
+	}
+}
+
+// enforce stops running work as the bundle says when its key was withdrawn or its availability zone was taken out.
+// Work is left to finish by default. Checkpointing is the upstream's part of a stop.
+func (inc *incarnation) enforce(s *state) {
+	inc.runningMu.Lock()
+	defer inc.runningMu.Unlock()
+	for t := range inc.running {
+		if mustStop(s, t) {
+			t.cancel()
+		}
+	}
+}
+
+func mustStop(s *state, t *runningTask) bool {
+	if _, key := s.index.KeyByHash(t.keyHash); key != nil && key.Withdrawn && stops(key.RunningWork) {
+		return true
+	}
+	host := s.index.Host(t.host())
+	if host == nil {
+		return false
+	}
+	zone := s.index.Zone(host.Zone)
+	return zone != nil && zone.OutOfService && stops(zone.RunningWork)
+}
+
+func stops(w bundle.RunningWork) bool {
+	return w == bundle.WorkStop || w == bundle.WorkCheckpoint
+}
+
+// leave shuts the incarnation down gracefully: no new work, running work ends, grants and the place in the roster are
+// given back. It returns when that is done or ctx ends.
+func (inc *incarnation) leave(ctx context.Context) {
+	inc.scheduler.Drain()
+	inc.waitForTasks(ctx)
+	inc.loop.post(control.Leave{})
+	select {
+	case <-inc.left:
+	case <-ctx.Done():
+	}
+}
+
+func (inc *incarnation) waitForTasks(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		inc.tasks.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -34,6 +34,7 @@
 	TypeRecord
 	TypeForward
 	TypeUpstreamNotice
+	TypeLoad
 	TypeAnswer
 	typeHello
 	typeProof
