--- /dev/null
+++ b/admin/sign.go
@@ -0,0 +1,157 @@
+package admin
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"citrongauge.example/citrongauge/result"
+)
+
+// Headers of a signed request.
+const (
+	headerOperator  = "Citrongauge-Operator"
+	headerTime      = "Citrongauge-Time"
+	headerNonce     = "Citrongauge-Nonce"
+	headerSignature = "Citrongauge-Signature"
+)
+
+const (
+	// TimeWindow is the largest difference between a request's time and the host's clock.
+	TimeWindow = 30 * time.Second
+	// MaxNonces bounds the memory for nonces. When it is reached, requests are refused: forgetting a nonce would
+	// allow a replay.
+	MaxNonces = 20_000
+
+	nonceBytes    = 16
+	requestDomain = "citrongauge admin request v1\x00"
+)
+
+// SignRequest signs a request with an operator's key for the entry host with the given ID. The body is what the
+// request sends. A signed request is valid once.
+func SignRequest(r *http.Request, body []byte, key ed25519.PrivateKey, operator, hostID string, now time.Time) {
+	var random [nonceBytes]byte
+	_, _ = rand.Read(random[:]) // never fails, it ends the process instead
+	r.Header.Set(headerOperator, operator)
+	r.Header.Set(headerTime, strconv.FormatInt(now.UnixMilli(), 10))
+	r.Header.Set(headerNonce, base64.RawURLEncoding.EncodeToString(random[:]))
+	signature := ed25519.Sign(key, signedMessage(r, body, hostID))
+	r.Header.Set(headerSignature, base64.RawURLEncoding.EncodeToString(signature))
+}
+
+// signedMessage returns what the signature covers. Every part has its length in front, so that no two requests
+// give the same message.
+func signedMessage(r *http.Request, body []byte, hostID string) []byte {
+	digest := sha256.Sum256(body)
+	parts := []string{r.Method, r.URL.RequestURI(), r.Header.Get(headerOperator), r.Header.Get(headerTime),
+		r.Header.Get(headerNonce), hostID, string(digest[:])}
+	message := []byte(requestDomain)
+	for _, part := range parts {
+		message = binary.BigEndian.AppendUint32(message, uint32(len(part)))
+		message = append(message, part...)
+	}
+	return message
+}
+
+// Verifier checks signed requests. It is safe for concurrent use.
+type Verifier struct {
+	// HostID returns the ID of this entry host. It is unique for each start, so that requests to an earlier
+	// process cannot be replayed to this one, which does not know their nonces.
+	HostID func() string
+	// Operators are the public keys by name.
+	Operators map[string]ed25519.PublicKey
+	// Now is the host's clock.
+	Now func() time.Time
+
+	mu     sync.Mutex
+	nonces map[string]int64
+	// forgotten is the latest request time in milliseconds whose nonce was dropped. Nothing up to it is accepted,
+	// so that a clock that is set back does not allow a replay.
+	forgotten int64
+}
+
+// signedHeaders are the parsed headers of a request.
+type signedHeaders struct {
+	operator  string
+	unixMS    int64
+	nonce     string
+	signature []byte
+}
+
+// Verify returns the operator who signed the request. It accepts each request once. The error is a *result.Error
+// with code 5201, 5202 or 5203.
+func (v *Verifier) Verify(r *http.Request, body []byte) (string, error) {
+	headers, err := parseHeaders(r)
+	if err != nil {
+		return "", err
+	}
+	key, ok := v.Operators[headers.operator]
+	if !ok || len(key) != ed25519.PublicKeySize {
+		return "", result.Errorf(result.AdminUnauthenticated, "unknown operator")
+	}
+	if !ed25519.Verify(key, signedMessage(r, body, v.HostID()), headers.signature) {
+		return "", result.Errorf(result.AdminUnauthenticated, "the signature does not match the request or this host")
+	}
+	return headers.operator, v.checkOnce(headers)
+}
+
+// parseHeaders reads the headers. It is cheap, so that it can run before the body is read.
+func parseHeaders(r *http.Request) (signedHeaders, error) {
+	headers := signedHeaders{operator: r.Header.Get(headerOperator), nonce: r.Header.Get(headerNonce)}
+	if headers.operator == "" || r.Header.Get(headerSignature) == "" {
+		return headers, result.Errorf(result.AdminUnauthenticated, "the request is not signed")
+	}
+	var err error
+	if headers.unixMS, err = strconv.ParseInt(r.Header.Get(headerTime), 10, 64); err != nil {
+		return headers, result.Errorf(result.AdminMalformed, "%s is not a time in milliseconds", headerTime)
+	}
+	if nonce, err := base64.RawURLEncoding.Strict().DecodeString(headers.nonce); err != nil || len(nonce) != nonceBytes {
+		return headers, result.Errorf(result.AdminMalformed, "%s is not %d bytes in base64", headerNonce, nonceBytes)
+	}
+	headers.signature, err = base64.RawURLEncoding.Strict().DecodeString(r.Header.Get(headerSignature))
+	if err != nil || len(headers.signature) != ed25519.SignatureSize {
+		return headers, result.Errorf(result.AdminMalformed, "%s is not an Ed25519 signature", headerSignature)
+	}
+	return headers, nil
+}
+
+// checkOnce refuses requests outside the time window and nonces that were seen before.
+func (v *Verifier) checkOnce(headers signedHeaders) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now, window := v.Now().UnixMilli(), TimeWindow.Milliseconds()
+	if headers.unixMS < now-window || headers.unixMS > now+window || headers.unixMS <= v.forgotten {
+		return result.Errorf(result.AdminReplayed, "the request's time differs too much from the host's clock")
+	}
+	nonce := headers.operator + " " + headers.nonce
+	if _, seen := v.nonces[nonce]; seen {
+		return result.Errorf(result.AdminReplayed, "the nonce was seen before")
+	}
+	if len(v.nonces) >= MaxNonces {
+		v.forgetBefore(now - window)
+	}
+	if len(v.nonces) >= MaxNonces {
+		return result.Errorf(result.AdminReplayed, "%d requests within %s", MaxNonces, TimeWindow)
+	}
+	if v.nonces == nil {
+		v.nonces = map[string]int64{}
+	}
+	v.nonces[nonce] = headers.unixMS
+	return nil
+}
+
+// forgetBefore drops the nonces of requests that are refused for their time anyway.
+func (v *Verifier) forgetBefore(unixMS int64) {
+	for nonce, at := range v.nonces {
+		if at < unixMS {
+			delete(v.nonces, nonce)
+			v.forgotten = max(v.forgotten, at)
+		}
+	}
+}
--- a/bundle/index_test.go
+++ b/bundle/index_test.go
@@ -63,3 +63,18 @@
 		`~ version: 7 -> 8`,
 	}, "\n"))
 }
+
+// Guards against operators' keys that change when they are written and read, and against keys of the wrong kind.
+func TestOperatorKeyText(t *testing.T) {
+	is := is.New(t)
+	private, err := ParsePrivateKey(FormatPrivateKey(testKey) + "\n")
+	is.NoErr(err)
+	is.True(private.Equal(testKey))
+	public, err := ParsePublicKey(FormatPublicKey(testOperators["amara"]))
+	is.NoErr(err)
+	is.True(public.Equal(testKey.Public()))
+	for _, text := range []string{"", FormatPrivateKey(testKey), "cgpub_AA", "cgpub_" + strings.Repeat("!", 43)} {
+		_, err = ParsePublicKey(text)
+		is.True(err != nil)
+	}
+}
