admin: add NewHandler and guard the tests' fake backend with a mutex

Cause: TestRolloutAfterUnclearAnswer failed once under -race: after a connection that is closed without an answer, the handlers of two fake hosts were not ordered and shared a map. Ruled out: a race in the client or the verifier; both stacks were in the fake. Change: a mutex around the fake's state, with the same checks as before. NewHandler serves the API without a router of the caller.

--- a/admin/client_test.go
+++ b/admin/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,10 +15,13 @@
 	"citrongauge.example/citrongauge/result"
 
 	"github.com/go-faster/errors"
-	"github.com/gorilla/mux"
 	"github.com/matryer/is"
 )
 
+// fakeMu guards the state of all fake backends, which may share it. A connection that is closed without an answer
+// does not order the handlers of two requests.
+var fakeMu sync.Mutex
+
 // fakeBackend records calls and keeps committed versions.
 type fakeBackend struct {
 	calls     []string
@@ -26,6 +30,8 @@
 }
 
 func (f *fakeBackend) Status(ctx context.Context) StatusReport {
+	fakeMu.Lock()
+	defer fakeMu.Unlock()
 	f.calls = append(f.calls, "status by "+Operator(ctx))
 	return StatusReport{HostID: "h1", BundleVersion: 7}
 }
@@ -38,6 +44,8 @@
 }
 
 func (f *fakeBackend) Rollout(_ context.Context, signed []byte) (RolloutReport, error) {
+	fakeMu.Lock()
+	defer fakeMu.Unlock()
 	f.calls = append(f.calls, "rollout")
 	b, err := bundle.VerifySigned(signed, testOperators)
 	if err != nil {
@@ -47,10 +55,16 @@
 	if err := f.rollout(b.Version, hex.EncodeToString(digest[:])); err != nil {
 		return RolloutReport{}, err
 	}
-	return f.RolloutProgress(context.Background(), b.Version), nil
+	return f.progress(b.Version), nil
 }
 
 func (f *fakeBackend) RolloutProgress(_ context.Context, version uint64) RolloutReport {
+	fakeMu.Lock()
+	defer fakeMu.Unlock()
+	return f.progress(version)
+}
+
+func (f *fakeBackend) progress(version uint64) RolloutReport {
 	f.calls = append(f.calls, "progress")
 	digest, ok := f.committed[version]
 	return RolloutReport{Version: version, Digest: digest, Committed: ok}
@@ -64,9 +78,7 @@
 
 // serve starts an entry host with a backend and returns its address.
 func serve(t *testing.T, backend Backend) string {
-	router := mux.NewRouter()
-	Register(router, backend, &Verifier{HostID: t.Name, Operators: testOperators, Now: time.Now})
-	server := httptest.NewServer(router)
+	server := httptest.NewServer(NewHandler(backend, &Verifier{HostID: t.Name, Operators: testOperators, Now: time.Now}))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
@@ -137,9 +149,7 @@
 	r, _ := http.NewRequest(http.MethodPost, "http://"+host+pathPrefix+"/rollouts", bytes.NewReader(body))
 	SignRequest(r, body, testKey, "amara", t.Name(), time.Now())
 	w := httptest.NewRecorder()
-	router := mux.NewRouter()
-	Register(router, backend, &Verifier{HostID: t.Name, Operators: testOperators, Now: time.Now})
-	router.ServeHTTP(w, r)
+	NewHandler(backend, &Verifier{HostID: t.Name, Operators: testOperators, Now: time.Now}).ServeHTTP(w, r)
 	is.Equal(w.Code, http.StatusBadRequest)
 	is.Equal(len(backend.calls), 0)
 }
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -30,6 +30,13 @@
 	verifier *Verifier
 }
 
+// NewHandler returns a handler that serves the API alone.
+func NewHandler(backend Backend, verifier *Verifier) http.Handler {
+	router := mux.NewRouter()
+	Register(router, backend, verifier)
+	return router
+}
+
 // Register adds the API to a router.
 func Register(router *mux.Router, backend Backend, verifier *Verifier) {
 	h := &handler{backend: backend, verifier: verifier}
