cgctl: add the operators' commands

Cause: every intervention goes through the bundle, so operators need edits that carry base, author and reason. Ruled out: trusting the bundle that an entry host returns.

--- /dev/null
+++ b/cmd/cgctl/status.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"citrongauge.example/citrongauge/admin"
+	"citrongauge.example/citrongauge/result"
+
+	"github.com/urfave/cli/v3"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{Name: "status", Usage: "show an entry host's view of the system", Action: action(showStatus)}
+}
+
+func showStatus(ctx context.Context, cmd *cli.Command, p *printer) error {
+	s, err := openSession(cmd, p)
+	if err != nil {
+		return err
+	}
+	status, err := s.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	s.printStatus(status)
+	return s.object(status)
+}
+
+func (p *printer) printStatus(status admin.StatusReport) {
+	p.line("host %s in %s, mode %s, record revision %d, read %s ago", status.HostID, status.Zone, status.Mode,
+		status.Revision, age(status.FreshAgeMS))
+	accepted := p.good.Render("accepted")
+	if status.AcceptedVersion < status.BundleVersion {
+		accepted = p.warn.Render(fmt.Sprintf("last accepted is %d", status.AcceptedVersion))
+	}
+	p.line("bundle version %d, %s\n", status.BundleVersion, accepted)
+
+	members := [][]string{{"ENTRY HOST", "ZONE", "ADDRESS", "HEARD", "STATE"}}
+	for _, m := range status.Members {
+		members = append(members, []string{m.ID, m.Zone, m.Address, age(m.HeardAgeMS), memberState(m)})
+	}
+	p.table(members)
+	zones := [][]string{{"ZONE", "SEEN", "STATE"}}
+	for _, z := range status.Zones {
+		zones = append(zones, []string{z.Name, age(z.SeenAgeMS), zoneState(z)})
+	}
+	p.table(zones)
+	pools := [][]string{{"POOL", "HOSTS", "UNAVAILABLE", "ALLOWED"}}
+	for _, pool := range status.Pools {
+		pools = append(pools, []string{pool.Name, strconv.Itoa(pool.Hosts), strconv.Itoa(pool.Unavailable), strconv.Itoa(pool.MaxUnavailable)})
+	}
+	p.table(pools)
+	teams := [][]string{{"TEAM", "SHARE", "CAP", "IN USE", "QUEUED"}}
+	for _, team := range status.Teams {
+		teams = append(teams, []string{team.Name, strconv.Itoa(team.Share), strconv.Itoa(team.Cap), strconv.Itoa(team.InUse), strconv.Itoa(team.Queued)})
+	}
+	p.table(teams)
+	for _, note := range status.Notes {
+		p.line("%s", p.warn.Render("note: "+note))
+	}
+}
+
+func memberState(m admin.MemberStatus) string {
+	switch {
+	case m.Departed:
+		return "departed"
+	case m.Relay:
+		return "relay"
+	}
+	return "member"
+}
+
+func zoneState(z admin.ZoneStatus) string {
+	if z.OutOfService {
+		return "out of service"
+	}
+	return "in service"
+}
+
+// historyEntry is one version of the history.
+type historyEntry struct {
+	Version uint64 `json:"version"`
+	Base    uint64 `json:"base"`
+	Author  string `json:"author"`
+	Reason  string `json:"reason"`
+}
+
+func historyCommand() *cli.Command {
+	return &cli.Command{
+		Name: "history", Usage: "list the latest versions with author and reason",
+		Flags:  []cli.Flag{&cli.IntFlag{Name: "number", Aliases: []string{"n"}, Value: 20, Usage: "`COUNT` of versions"}},
+		Action: action(showHistory),
+	}
+}
+
+// showHistory follows the versions back by their base: only a bundle that is based on the version in force can
+// become the next one.
+func showHistory(ctx context.Context, cmd *cli.Command, p *printer) error {
+	s, err := openSession(cmd, p)
+	if err != nil {
+		return err
+	}
+	entries := []historyEntry{}
+	rows := [][]string{{"VERSION", "AUTHOR", "REASON"}}
+	for version := uint64(0); len(entries) < cmd.Int("number"); {
+		b, err := s.fetch(ctx, version)
+		if hasCode(err, result.AdminNotFound) {
+			break // older versions are not kept
+		}
+		if err != nil {
+			return err
+		}
+		entries = append(entries, historyEntry{b.Version, b.Base, b.Author, b.Reason})
+		rows = append(rows, []string{strconv.FormatUint(b.Version, 10), b.Author, b.Reason})
+		if version = b.Base; version == 0 {
+			break
+		}
+	}
+	s.table(rows)
+	return s.object(entries)
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "say why a host, zone, pool, queue, team, key or task is as it is", ArgsUsage: "KIND NAME",
+		Action: action(showExplanation),
+	}
+}
+
+func showExplanation(ctx context.Context, cmd *cli.Command, p *printer) error {
+	args, err := arguments(cmd, 2)
+	if err != nil {
+		return err
+	}
+	s, err := openSession(cmd, p)
+	if err != nil {
+		return err
+	}
+	explanation, err := s.client.Explain(ctx, args[0], args[1])
+	if err != nil {
+		return err
+	}
+	for _, line := range explanation.Lines {
+		s.line("%s", line)
+	}
+	return s.object(explanation)
+}
