Serve requests end to end from one command

Cause: the parts have to be tried as separate processes, with stand-ins for platform and upstreams. Ruled out: a bundle's store key by version alone; an operator who proposes a version and does not commit it would block it.

--- a/cmd/cgctl/main_test.go
+++ b/cmd/cgctl/main_test.go
@@ -103,7 +103,7 @@
 	b := &bench{t: t, dir: t.TempDir()}
 	var received atomic.Int64 // a closed connection does not order the handler before the test
 	answer := `{"code": 1000, "message": "done", "run": "yes", "host": "e1", "zone": "zone-1", "upstream": "u-000",
-		"answer": "` + base64.StdEncoding.EncodeToString([]byte("cut")) + `", "steps_ms": {"queue": 1, "run": 20}}`
+		"output": "` + base64.StdEncoding.EncodeToString([]byte("cut")) + `", "steps": {"queue_us": 1000, "run_us": 20000}}`
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received.Add(1)
 		var task taskRequest
@@ -120,7 +120,7 @@
 	host := strings.TrimPrefix(server.URL, "http://")
 	args := []string{"--host", "127.0.0.1:1", "--host", host, "--host", host, "task", "run", "--queue", "main", "--key", "cgk_x", "--payload", "panel"}
 	out := b.tool(exitOK, args...)
-	is.True(strings.Contains(out, `"cut"`) && strings.Contains(out, `{"queue":1,"run":20}`) && strings.Contains(out, "u-000"))
+	is.True(strings.Contains(out, `"cut"`) && strings.Contains(out, "queue 1ms, reserve 0s, start 0s, run 20ms") && strings.Contains(out, "u-000"))
 	is.Equal(received.Load(), int64(1))
 	answer = `{"code": 2101, "message": "the team's queue is full", "run": "no"}`
 	b.tool(exitFailed, args...)
--- a/cmd/cgctl/task.go
+++ b/cmd/cgctl/task.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,9 +11,9 @@
 	"net/netip"
 	"net/url"
 	"os"
-	"sort"
 	"time"
 
+	"citrongauge.example/citrongauge/api"
 	"citrongauge.example/citrongauge/result"
 
 	"github.com/go-faster/errors"
@@ -81,9 +80,8 @@
 	if err := p.object(answer); err != nil {
 		return err
 	}
-	code, _ := answer["code"].(json.Number)
-	if number, _ := code.Int64(); number != int64(result.OK) {
-		return result.Errorf(result.Code(number), "%v", answer["message"])
+	if answer.Code != result.OK {
+		return result.Errorf(answer.Code, "%s", answer.Message)
 	}
 	return nil
 }
@@ -109,10 +107,10 @@
 
 // submit sends the task to the first entry host that accepts a connection. After that it is not sent again: the
 // task may have been run.
-func submit(ctx context.Context, cmd *cli.Command, body []byte) (map[string]any, error) {
+func submit(ctx context.Context, cmd *cli.Command, body []byte) (api.Answer, error) {
 	hosts := cmd.StringSlice(flagHost)
 	if len(hosts) == 0 {
-		return nil, usageError{"no entry host given; see --host"}
+		return api.Answer{}, usageError{"no entry host given; see --host"}
 	}
 	client := &http.Client{
 		Transport:     &http.Transport{Proxy: nil},
@@ -122,12 +120,12 @@
 	var last error
 	for _, host := range hosts {
 		if _, err := netip.ParseAddrPort(host); err != nil {
-			return nil, usageError{fmt.Sprintf("entry host %q is not IP:port", host)}
+			return api.Answer{}, usageError{fmt.Sprintf("entry host %q is not IP:port", host)}
 		}
 		address := "http://" + host + "/v1/queues/" + url.PathEscape(cmd.String("queue")) + "/tasks"
 		request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
 		if err != nil {
-			return nil, errors.Wrap(err, "make the request")
+			return api.Answer{}, errors.Wrap(err, "make the request")
 		}
 		request.Header.Set("Content-Type", "application/json")
 		if key := cmd.String("key"); key != "" {
@@ -139,7 +137,7 @@
 		}
 		last = err
 	}
-	return nil, last
+	return api.Answer{}, last
 }
 
 // isDialError states whether no connection was made, so that nothing was sent.
@@ -148,53 +146,38 @@
 	return errors.As(err, &opError) && opError.Op == "dial"
 }
 
-func post(client *http.Client, request *http.Request) (map[string]any, error) {
+func post(client *http.Client, request *http.Request) (api.Answer, error) {
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, errors.Wrap(err, "send the task; unless no connection was made it may have been run")
+		return api.Answer{}, errors.Wrap(err, "send the task; unless no connection was made it may have been run")
 	}
 	defer func() { _ = response.Body.Close() }()
 	decoder := json.NewDecoder(io.LimitReader(response.Body, maxTaskAnswer))
-	decoder.UseNumber()
-	var answer map[string]any
+	var answer api.Answer
 	if err := decoder.Decode(&answer); err != nil {
-		return nil, errors.Wrapf(err, "HTTP status %d, the answer could not be read; the task may have been run", response.StatusCode)
+		return api.Answer{}, errors.Wrapf(err, "HTTP status %d, the answer could not be read; the task may have been run", response.StatusCode)
 	}
 	return answer, nil
 }
 
-// printAnswer prints all fields of an answer. The fields that say what happened come first.
-func (p *printer) printAnswer(answer map[string]any) {
-	shown := map[string]bool{}
-	for _, name := range []string{"code", "message", "run", "request_id", "host", "zone", "upstream"} {
-		if value, ok := answer[name]; ok {
-			p.line("%-14s %v", name, value)
-			shown[name] = true
-		}
-	}
-	var rest []string
-	for name := range answer {
-		if !shown[name] {
-			rest = append(rest, name)
-		}
-	}
-	sort.Strings(rest)
-	for _, name := range rest {
-		p.line("%-14s %s", name, answerText(name, answer[name]))
-	}
+// printAnswer prints an answer, with the time of each step.
+func (p *printer) printAnswer(a api.Answer) {
+	p.line("code        %d %s", a.Code, a.Message)
+	p.line("run         %s", a.Run)
+	p.line("retry       %s", a.Retry)
+	if a.RetryAfterMS > 0 {
+		p.line("retry after %d ms", a.RetryAfterMS)
+	}
+	p.line("request ID  %s", a.RequestID)
+	p.line("entry host  %s", a.Host)
+	if a.Upstream != "" {
+		p.line("upstream    %s in %s", a.Upstream, a.Zone)
+	}
+	if len(a.Output) > 0 {
+		p.line("output      %q", a.Output)
+	}
+	p.line("steps       queue %s, reserve %s, start %s, run %s", microseconds(a.Steps.QueueUS),
+		microseconds(a.Steps.ReserveUS), microseconds(a.Steps.StartUS), microseconds(a.Steps.RunUS))
 }
 
-// answerText returns a value in one line; the task's answer is decoded.
-func answerText(name string, value any) string {
-	if text, ok := value.(string); ok {
-		if decoded, err := base64.StdEncoding.DecodeString(text); err == nil && (name == "answer" || name == "payload") {
-			return fmt.Sprintf("%q", decoded)
-		}
-		return text
-	}
-	text, err := json.Marshal(value)
-	if err != nil {
-		return fmt.Sprint(value)
-	}
-	return string(text)
-}
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/cmd/citrongauge/process_test.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/api"
+	"citrongauge.example/citrongauge/bundle"
+	"citrongauge.example/citrongauge/result"
+)
+
+// acceptanceBound is the time within which a change is in force everywhere.
+const acceptanceBound = 3 * time.Second
+
+// Guards against a path that works in parts only: a request goes through real processes and its own answer comes
+// back, and the refusals that need no upstream are true and numbered.
+func TestRequestIsServed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 1, 2, func(b *bundle.Bundle) {
+		_, hash := bundle.NewTeamKey()
+		b.Teams[0].Keys = append(b.Teams[0].Keys, bundle.Key{ID: "old", SHA256: hash, Withdrawn: true})
+	})
+	for _, h := range f.hosts {
+		a, err := f.post(h, f.teamKeys["red"], "work", api.Submission{Payload: []byte("cut path 7"), RunMS: 20}, "")
+		is.NoErr(err)
+		is.Equal(a.Code, result.OK)
+		is.True(strings.Contains(string(a.Output), "cut path 7"))
+	}
+	before := len(f.executions())
+	refusals := []struct {
+		key, queue string
+		submission api.Submission
+		code       result.Code
+	}{
+		{"cgk_wrong", "work", api.Submission{}, result.KeyUnknown},
+		{f.teamKeys["red"], "nowhere", api.Submission{}, result.QueueUnknown},
+		{f.teamKeys["red"], "work", api.Submission{Slots: 9}, result.TaskTooLarge},
+		{f.teamKeys["red"], "work", api.Submission{DeadlineMS: 3600000}, result.DeadlineInvalid},
+		{f.teamKeys["red"], "work", api.Submission{RequestID: "made-up"}, result.RequestIDInvalid},
+	}
+	for _, r := range refusals {
+		a, err := f.post(f.hosts[0], r.key, r.queue, r.submission, "")
+		is.NoErr(err)
+		is.Equal(a.Code, r.code)
+		is.Equal(a.Run, result.RunNo)
+	}
+	is.Equal(len(f.executions()), before)
+}
+
+// Guards against a doubled order: the caller of a request that is not idempotent repeats it through other hosts
+// after the host that started it was killed.
+func TestRepeatAfterKillRunsOnce(t *testing.T) {
+	is := is.New(t)
+	// With two hosts in each zone a killed one is no majority of its zone and is cleared within seconds.
+	f := newFleet(t, 3, 2, 2, nil)
+	id := f.requestID(f.hosts[0])
+	submission := api.Submission{RequestID: id, Payload: []byte("pylon sign"), RunMS: 1500}
+	go func() { _, _ = f.post(f.hosts[1], f.teamKeys["red"], "work", submission, "") }()
+	f.eventually("start", 10*time.Second, func() bool { return len(f.executions()) == 1 })
+	f.hosts[0].signal(syscall.SIGKILL)
+	deadline := time.Now().Add(20 * time.Second)
+	var last api.Answer
+	for time.Now().Before(deadline) {
+		a, err := f.post(f.hosts[2], f.teamKeys["red"], "work", submission, "")
+		is.NoErr(err)
+		is.True(a.Run != result.RunNo) // the work was started
+		last = a
+		if a.Run == result.RunYes {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	is.Equal(len(f.executions()), 1)
+	is.Equal(last.Code, result.OK) // recovered from the upstream that ran it
+}
+
+// Guards against a withdrawn key that goes on working on a host that was paused while it was withdrawn, and against
+// acceptance that waits longer than the bound for such a host.
+func TestWithdrawnKeyWithFrozenHost(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 2, 2, nil)
+	frozen := f.hosts[5]
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for _, h := range f.hosts {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				_, _ = f.post(h, f.teamKeys["red"], "work", api.Submission{RunMS: 5, DeadlineMS: 3000}, "")
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	frozen.signal(syscall.SIGSTOP)
+	elapsed := f.rollOut(func(b *bundle.Bundle) { b.Teams[0].Keys[0].Withdrawn = true })
+	accepted := time.Now()
+	t.Logf("accepted %v after it was asked for", elapsed)
+	is.True(elapsed < acceptanceBound)
+	frozen.signal(syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	close(stop)
+	wg.Wait()
+	for _, e := range f.executions() {
+		if e.Team == "red" && e.StartUnixNS > accepted.UnixNano() {
+			t.Fatalf("started %v after acceptance", time.Duration(e.StartUnixNS-accepted.UnixNano()))
+		}
+	}
+	a, err := f.post(f.hosts[0], f.teamKeys["red"], "work", api.Submission{}, "")
+	is.NoErr(err)
+	is.Equal(a.Code, result.KeyWithdrawn)
+}
+
+// Guards against requests that are cut off when all entry hosts are replaced one after another under load.
+func TestRollingReplacementCutsOffNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 1, 2, nil)
+	old := append([]*entryHost(nil), f.hosts...)
+	balancer := &balancer{hosts: append([]*entryHost(nil), f.hosts...)}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	counts := make(map[result.Code]int)
+	stop := make(chan struct{})
+	for range 8 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a, err := f.post(balancer.next(), f.teamKeys["blue"], "work", api.Submission{RunMS: 100, DeadlineMS: 20000}, "")
+				mu.Lock()
+				if err != nil {
+					t.Errorf("request cut off: %v", err)
+				}
+				counts[a.Code]++
+				mu.Unlock()
+			}
+		})
+	}
+	for _, h := range old {
+		time.Sleep(300 * time.Millisecond)
+		next := f.startHost(h.zone)
+		f.waitReady(next)
+		balancer.add(next)
+		balancer.remove(h)
+		h.signal(syscall.SIGTERM)
+		select {
+		case err := <-h.exited:
+			is.NoErr(err)
+			h.exited <- nil
+		case <-time.After(25 * time.Second):
+			t.Fatal("no graceful exit")
+		}
+	}
+	close(stop)
+	wg.Wait()
+	t.Logf("answers: %v", counts)
+	is.True(counts[result.OK] > 50)
+	for code := range counts {
+		is.Equal(code, result.OK)
+	}
+}
+
+// balancer stands for the platform's balancer: it sends requests to hosts in turn.
+type balancer struct {
+	mu    sync.Mutex
+	hosts []*entryHost
+	turn  int
+}
+
+func (b *balancer) next() *entryHost {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+	return b.hosts[b.turn%len(b.hosts)]
+}
+
+func (b *balancer) add(h *entryHost) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hosts = append(b.hosts, h)
+}
+
+func (b *balancer) remove(h *entryHost) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, other := range b.hosts {
+		if other == h {
+			b.hosts = append(b.hosts[:i], b.hosts[i+1:]...)
+			return
+		}
+	}
+}
--- a/daemon/controlloop.go
+++ b/daemon/controlloop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -37,7 +38,9 @@
 	onAdopted func(now time.Time, s *state)
 	onEvicted func()
 	onLeft    func()
-	onTick    func(now time.Time)
+	// onAccepted is called when a bundle version is in force everywhere.
+	onAccepted func(now time.Time, version uint64)
+	onTick     func(now time.Time)
 }
 
 // recordMessage carries a control record with its bundle.
@@ -46,9 +49,15 @@
 	Bundle []byte `cbor:"2,keyasint"`
 }
 
-// bundleKey is the store's key of a bundle version.
-func bundleKey(version uint64) string {
-	return "bundles/" + strconv.FormatUint(version, 10)
+// bundleKey is the store's key of a bundle. The digest is part of it, so that an operator who proposes a version and
+// does not commit it cannot block the version for another one.
+func bundleKey(version uint64, digest [32]byte) string {
+	return "bundles/" + strconv.FormatUint(version, 10) + "/" + hex.EncodeToString(digest[:])
+}
+
+// historyKey is the store's key of the digest of a committed bundle version.
+func historyKey(version uint64) string {
+	return "history/" + strconv.FormatUint(version, 10)
 }
 
 // post queues an event. It returns false if the queue is full; heartbeats and reads repeat.
@@ -120,6 +129,7 @@
 		l.adopt(now, e)
 	case control.Accepted:
 		l.log.Info("bundle accepted", "version", e.Version)
+		l.onAccepted(now, e.Version)
 	case control.Evicted:
 		l.log.Warn("evicted from the roster", "revision", e.Revision)
 		l.onEvicted()
@@ -210,7 +220,7 @@
 	if record.BundleVersion == 0 || record.BundleVersion == knownVersion {
 		return s, nil
 	}
-	stored, err := l.store.Get(ctx, bundleKey(record.BundleVersion))
+	stored, err := l.store.Get(ctx, bundleKey(record.BundleVersion, record.BundleDigest))
 	if err != nil {
 		return s, errors.Wrapf(err, "bundle %d", record.BundleVersion)
 	}
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -37,6 +37,9 @@
 	issuer    *requestid.Issuer
 	table     *requestid.Table
 	loads     *loadBook
+	rollouts  *rolloutTimes
+	// historyVersion is the last version written to the history, on the control goroutine.
+	historyVersion uint64
 
 	wake  chan struct{} // wakes the scheduler goroutine
 	tasks sync.WaitGroup
@@ -77,6 +80,7 @@
 	inc.table = requestid.NewTable(inc.self.ID, now, maxEntries, maxAnswerBytes)
 	inc.grants = grant.NewManager(inc.self.ID, inc.account, uint64(now.UnixNano()))
 	inc.scheduler = admission.New(inc.account.TryAcquire)
+	inc.rollouts = newRolloutTimes()
 	inc.loop = inc.newLoop()
 	return inc, nil
 }
@@ -95,6 +99,7 @@
 		onEvicted:  inc.evict,
 		onLeft:     func() { close(inc.left) },
 		onTick:     inc.tick,
+		onAccepted: inc.rollouts.accepted,
 	}
 }
 
@@ -103,6 +108,7 @@
 	inc.loop.post(control.Join{})
 	go inc.loop.run(inc.ctx)
 	go inc.schedule()
+	go (&maintainer{inc: inc}).run(inc.ctx)
 }
 
 // adopted takes over a new record. It runs on the control goroutine.
@@ -115,6 +121,11 @@
 	inc.stepGrants(now, grant.Config{Record: s.record, Caps: grantCaps(s)})
 	inc.d.metrics.adopted(s)
 	inc.enforce(s)
+	inc.rollouts.adopted(now, s.record)
+	if inc.loop.core.IsRelay() && inc.historyVersion != s.record.BundleVersion {
+		inc.historyVersion = s.record.BundleVersion
+		go inc.writeHistory(s.record)
+	}
 	inc.wakeScheduler()
 }
 
@@ -126,6 +137,7 @@
 		inc.stepGrants(now, grant.PeerDemand{Teams: inc.loads.peerUse(now)})
 		inc.stepGrants(now, grant.Tick{FreshAt: inc.loop.core.FreshAt()})
 	}
+	inc.rollouts.observe(now, inc.loop.core)
 	if now.After(inc.tellAt) {
 		inc.tellAt = now.Add(loadInterval)
 		inc.tellLoads(now)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"citrongauge.example/citrongauge/maintenance"
 	"citrongauge.example/citrongauge/requestid"
 	"citrongauge.example/citrongauge/result"
 )
@@ -27,7 +28,9 @@
 	version  prometheus.Gauge
 	accepted prometheus.Gauge
 	members  prometheus.Gauge
-	mode     *prometheus.GaugeVec
+	stops    prometheus.Gauge
+	moves    prometheus.Gauge
+	buffer   prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -49,10 +52,10 @@
 	m.version = gauge("control", "bundle_version", "Version of the bundle in force.")
 	m.accepted = gauge("control", "accepted_version", "Last bundle version that is in force everywhere.")
 	m.members = gauge("control", "members", "Entry hosts in the roster.")
-	m.mode = prometheus.NewGaugeVec(prometheus.GaugeOpts{
-		Namespace: namespace, Subsystem: "control", Name: "permission_mode", Help: "1 for the mode in which this host may start work.",
-	}, []string{"mode"})
-	m.registry.MustRegister(m.requests, m.duration, m.queueing, m.refusals, m.revision, m.version, m.accepted, m.members, m.mode,
+	m.stops = gauge("maintenance", "planned_stops", "Planned stops committed by this host since its start.")
+	m.moves = gauge("maintenance", "host_moves", "Pool moves completed by this host since its start.")
+	m.buffer = gauge("maintenance", "buffer_idle_seconds", "Idle time of spare hosts, summed over hosts, while this host planned.")
+	m.registry.MustRegister(m.requests, m.duration, m.queueing, m.refusals, m.revision, m.version, m.accepted, m.members, m.stops, m.moves, m.buffer,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -81,3 +84,9 @@
 	}
 	m.refusals.WithLabelValues(queue, strconv.Itoa(int(code))).Inc()
 }
+
+func (m *metrics) maintained(c maintenance.Counters) {
+	m.stops.Set(float64(c.Stops))
+	m.moves.Set(float64(c.Moves))
+	m.buffer.Set(c.BufferIdle.Seconds())
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"crypto/ed25519"
-	"encoding/base64"
 	"encoding/json"
 	"io"
 	"net/netip"
@@ -15,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/tailscale/hujson"
 
+	"citrongauge.example/citrongauge/bundle"
 	"citrongauge.example/citrongauge/result"
 )
 
@@ -47,7 +47,7 @@
 // Operator is an operator's public key.
 type Operator struct {
 	Name string `json:"name"`
-	// PublicKey is an Ed25519 public key in base64.
+	// PublicKey is an Ed25519 public key as `cgctl keys operator` prints it.
 	PublicKey string `json:"public_key"`
 }
 
@@ -156,14 +156,14 @@
 func (s *Settings) OperatorKeys() (map[string]ed25519.PublicKey, error) {
 	keys := make(map[string]ed25519.PublicKey, len(s.Operators))
 	for _, o := range s.Operators {
-		raw, err := base64.StdEncoding.DecodeString(o.PublicKey)
-		if err != nil || len(raw) != ed25519.PublicKeySize {
-			return nil, errors.Errorf("operators: public key of %q is not %d bytes of base64", o.Name, ed25519.PublicKeySize)
+		key, err := bundle.ParsePublicKey(o.PublicKey)
+		if err != nil {
+			return nil, errors.Wrapf(err, "operators: public key of %q", o.Name)
 		}
 		if _, twice := keys[o.Name]; twice || o.Name == "" {
 			return nil, errors.Errorf("operators: name %q is empty or given twice", o.Name)
 		}
-		keys[o.Name] = raw
+		keys[o.Name] = key
 	}
 	if len(keys) == 0 {
 		return nil, errors.New("operators: missing")
