--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"crypto/sha256"
 	"io"
 	"net"
 	"net/http"
@@ -48,6 +49,7 @@
 	inc       atomic.Pointer[incarnation]
 	ctx       context.Context
 	draining  atomic.Bool
+	verified  atomic.Pointer[verifiedBundle]
 
 	transport http.RoundTripper
 	clientsMu sync.Mutex
@@ -206,12 +208,26 @@
 	_, _ = io.WriteString(w, string(permission.Mode)+"\n")
 }
 
+// verifySigned verifies a signed bundle and indexes it. The last one is kept: each roll-out verifies the same bundle
+// several times, which takes milliseconds at the size of a large fleet.
 func (d *Daemon) verifySigned(signed []byte) (*bundle.Index, error) {
+	sum := sha256.Sum256(signed)
+	if last := d.verified.Load(); last != nil && last.sum == sum {
+		return last.index, nil
+	}
 	b, err := bundle.VerifySigned(signed, d.operators)
 	if err != nil {
 		return nil, err
 	}
-	return bundle.NewIndex(b), nil
+	index := bundle.NewIndex(b)
+	d.verified.Store(&verifiedBundle{sum: sum, index: index})
+	return index, nil
+}
+
+// verifiedBundle is a bundle whose signature was verified, with the SHA-256 of its signed form.
+type verifiedBundle struct {
+	sum   [sha256.Size]byte
+	index *bundle.Index
 }
 
 // verifyBundle checks a bundle for the control core.
--- a/daemon/enforce.go
+++ b/daemon/enforce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"citrongauge.example/citrongauge/bundle"
 	"citrongauge.example/citrongauge/control"
@@ -10,12 +11,20 @@
 // runningTask is a dispatched task that a change of the bundle may have to stop.
 type runningTask struct {
 	keyHash string
-	team    string
 	cancel  context.CancelFunc
 	// host returns the upstream on which the task was last permitted to start.
 	host func() string
+	// stopped is why the bundle in force had the task stopped.
+	stopped atomic.Int32
 }
 
+// Reasons for which a bundle stops running tasks.
+const (
+	notStopped int32 = iota
+	stoppedByKey
+	stoppedByZone
+)
+
 // track registers a dispatched task until the returned function is called.
 func (inc *incarnation) track(t *runningTask) (untrack func()) {
 	inc.runningMu.Lock()
@@ -34,22 +43,26 @@
 	inc.runningMu.Lock()
 	defer inc.runningMu.Unlock()
 	for t := range inc.running {
-		if mustStop(s, t) {
+		if reason := mustStop(s, t); reason != notStopped {
+			t.stopped.Store(reason)
 			t.cancel()
 		}
 	}
 }
 
-func mustStop(s *state, t *runningTask) bool {
+func mustStop(s *state, t *runningTask) int32 {
 	if _, key := s.index.KeyByHash(t.keyHash); key != nil && key.Withdrawn && stops(key.RunningWork) {
-		return true
+		return stoppedByKey
 	}
 	host := s.index.Host(t.host())
 	if host == nil {
-		return false
+		return notStopped
 	}
 	zone := s.index.Zone(host.Zone)
-	return zone != nil && zone.OutOfService && stops(zone.RunningWork)
+	if zone != nil && zone.OutOfService && stops(zone.RunningWork) {
+		return stoppedByZone
+	}
+	return notStopped
 }
 
 func stops(w bundle.RunningWork) bool {
--- a/daemon/tasks.go
+++ b/daemon/tasks.go
@@ -119,28 +119,46 @@
 		if refusal := inc.await(ctx, ticket, r); refusal != nil {
 			return outcomeOf(refusal)
 		}
-		answer := inc.dispatch(ctx, ticket, id, r)
-		if ctx.Err() != nil || !mayRequeue(ticket, answer.Code) || time.Until(r.deadline) < requeueMargin {
+		answer, stopped := inc.dispatch(ctx, ticket, id, r)
+		if ctx.Err() != nil || !mayRequeue(ticket, r, answer.Code, stopped) || time.Until(r.deadline) < requeueMargin {
 			inc.scheduler.End(time.Now(), ticket)
 			inc.wakeScheduler()
-			return outcomeOfAnswer(answer)
+			return outcomeOfAnswer(explainStop(answer, stopped))
 		}
 		inc.scheduler.Requeue(time.Now(), ticket)
 	}
 }
 
 // mayRequeue states whether a dispatched request goes back to its queue: no upstream had room, which proves that it
-// was not run, or it was stopped to give lent capacity back, which happens to idempotent requests only.
-func mayRequeue(t *admission.Ticket, code result.Code) bool {
+// was not run; or it is idempotent and was stopped to give lent capacity back or because its availability zone was
+// taken out.
+func mayRequeue(t *admission.Ticket, r *request, code result.Code, stopped int32) bool {
 	switch code {
 	case result.NoUpstream, result.RetriesExhausted:
 		return true
-	case result.CancelledBeforeRun, result.CancelledRunning:
-		return t.Preempted()
+	case result.CancelledBeforeRun:
+		return t.Preempted() || stopped == stoppedByZone
+	case result.CancelledRunning:
+		return r.submission.Idempotent && (t.Preempted() || stopped == stoppedByZone)
 	}
 	return false
 }
 
+// explainStop tells a caller why its running task was stopped.
+func explainStop(a dispatch.Answer, stopped int32) dispatch.Answer {
+	if a.Code != result.CancelledRunning {
+		return a
+	}
+	switch stopped {
+	case stoppedByKey:
+		a.Detail = "the key was withdrawn"
+	case stoppedByZone:
+		a.Code = result.StoppedByDrain
+		a.Detail = "availability zone " + a.Zone + " was taken out of service"
+	}
+	return a
+}
+
 // await waits until the scheduler releases the ticket. A refusal means that the request was not dispatched.
 func (inc *incarnation) await(ctx context.Context, t *admission.Ticket, r *request) *result.Error {
 	timer := time.NewTimer(time.Until(r.deadline))
@@ -161,13 +179,14 @@
 }
 
 // dispatch runs a released request at an upstream.
-func (inc *incarnation) dispatch(ctx context.Context, t *admission.Ticket, id requestid.ID, r *request) dispatch.Answer {
+func (inc *incarnation) dispatch(ctx context.Context, t *admission.Ticket, id requestid.ID, r *request) (dispatch.Answer, int32) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go cancelOnPreempt(ctx, cancel, t)
 	g := &gate{inc: inc, keyHash: r.keyHash, acquired: true}
 	defer g.returnUnused(r.team.Name, r.submission.Slots)
-	defer inc.track(&runningTask{keyHash: r.keyHash, team: r.team.Name, cancel: cancel, host: g.host})()
+	running := &runningTask{keyHash: r.keyHash, cancel: cancel, host: g.host}
+	defer inc.track(running)()
 	task := &dispatch.Task{
 		Idempotent: r.submission.Idempotent, Team: r.team.Name, Queue: r.queue.Name, Pool: r.queue.Pool,
 		Size: r.submission.Size(), Payload: r.submission.Payload, RunMS: r.submission.RunMS,
@@ -176,7 +195,8 @@
 	if !task.Idempotent {
 		task.RequestID = id.String()
 	}
-	return inc.newRunner(g).Run(ctx, task)
+	answer := inc.newRunner(g).Run(ctx, task)
+	return answer, running.stopped.Load()
 }
 
 // cancelOnPreempt cancels a task that runs on lent capacity which its owner needs for urgent work.
