control: settle each change from its own adoption on

Cause: with a host frozen right after the fleet came up, a withdrawn key was accepted 3.67 s after it was asked for (bound 3 s). The revision of the last join was still being settled, and the new one was only tracked after it, so a paused host was waited for twice. And a killed host that had joined its zone first was never cleared within 20 s: it counted as the majority of the zone's first roster, although it was known to hold a later revision. Ruled out: replacing the target with each change; frequent changes would then put acceptance off without end. Change: each change that needs settling has its own target, up to 16; a member that is known to hold a revision is not counted in rosters that were replaced up to it.

--- a/control/core.go
+++ b/control/core.go
@@ -68,7 +68,7 @@
 	writer writerState
 
 	confirmed   map[string]confirmation
-	target      *settleTarget
+	targets     []*settleTarget // by rising revision
 	suspicion   map[string]*suspicion
 	nextDutyAt  time.Time
 	lastRefused uint64
@@ -202,7 +202,7 @@
 	c.heldSince = time.Time{}
 	c.zoneSeen = make([]time.Time, len(c.layout.zones))
 	c.resetPeers(now)
-	c.resetTarget()
+	c.resetTargets()
 	c.urgent, c.urgentLeft = true, urgentRounds
 	c.emit(Adopted{Record: c.rec, Bundle: c.bundle, Info: c.info})
 	if rec.AcceptedVersion > 0 && (previous == nil || previous.AcceptedVersion < rec.AcceptedVersion) {
--- a/control/membership.go
+++ b/control/membership.go
@@ -69,8 +69,8 @@
 	if !c.relay {
 		return nil
 	}
-	if c.settledNow(now) {
-		return c.target.settle
+	if settled := c.settledNow(now); settled != nil {
+		return settled.settle
 	}
 	if dead := c.evictable(now); len(dead) > 0 {
 		return func(r *Record) error { return remove(r, dead, true) }
--- a/control/settle.go
+++ b/control/settle.go
@@ -38,8 +38,12 @@
 	return known.held >= revision, known.drained >= revision
 }
 
-// settleTarget is a revision that is to be settled, with the record at that revision. It stays the same while
-// further revisions are adopted, so that frequent changes do not defer acceptance.
+// maxTargets bounds the revisions that are tracked at the same time. Further changes wait for one of them.
+const maxTargets = 16
+
+// settleTarget is a revision that is to be settled, with the record at that revision. Each change that needs
+// settling has a target of its own from its adoption on: one that had to wait for the target before it would be
+// accepted after two waits for a paused host instead of one.
 type settleTarget struct {
 	rec   *Record
 	zones []*zoneSettling
@@ -53,7 +57,7 @@
 type zoneSettling struct {
 	zone      string
 	members   []Member   // roster and departed
-	rosters   [][]string // the roster and the past ones
+	rosters   []PastRoster // the roster, with Until 0, and the past ones
 	hasEmpty  bool       // one of the rosters is empty
 	waiting   []string   // members that may hold a lower revision
 	undrained []string   // members that may have a start left from a lower revision
@@ -65,15 +69,53 @@
 	return r.AcceptedVersion < r.BundleVersion || len(r.Departed) > 0 || len(r.PastRosters) > 0
 }
 
-// resetTarget chooses the record in force as target if the present one is settled or there is none.
-func (c *Core) resetTarget() {
-	if t := c.target; t != nil && c.rec.SettledRevision < t.rec.Revision {
+// resetTargets drops the targets that are settled and adds the record in force if it needs more than they cover.
+func (c *Core) resetTargets() {
+	c.targets = slices.DeleteFunc(c.targets, func(t *settleTarget) bool {
+		return t.rec.Revision <= c.rec.SettledRevision
+	})
+	if !c.rec.needsSettling() || len(c.targets) >= maxTargets {
 		return
 	}
-	c.target = nil
-	if c.rec.needsSettling() {
-		c.target = newSettleTarget(c.rec)
+	if len(c.targets) == 0 || !c.lastTarget().covers(c.rec) {
+		c.targets = append(c.targets, newSettleTarget(c.rec))
+	}
+}
+
+// lastTarget returns the target with the highest revision, or nil.
+func (c *Core) lastTarget() *settleTarget {
+	if len(c.targets) == 0 {
+		return nil
+	}
+	return c.targets[len(c.targets)-1]
+}
+
+// bundleTarget returns the first target with the bundle version in force, or the last one, or nil.
+func (c *Core) bundleTarget() *settleTarget {
+	for _, t := range c.targets {
+		if t.rec.BundleVersion == c.rec.BundleVersion {
+			return t
+		}
 	}
+	return c.lastTarget()
+}
+
+// covers reports whether everything in a later record that needs settling is settled with the target.
+func (t *settleTarget) covers(rec *Record) bool {
+	if rec.BundleVersion > t.rec.BundleVersion {
+		return false
+	}
+	for _, m := range rec.Departed {
+		if !containsMember(t.rec.Departed, m.ID) {
+			return false
+		}
+	}
+	for _, past := range rec.PastRosters {
+		if past.Until > t.rec.Revision {
+			return false
+		}
+	}
+	return true
 }
 
 func newSettleTarget(rec *Record) *settleTarget {
@@ -92,7 +134,7 @@
 	}
 	for _, past := range rec.PastRosters {
 		z := at(past.Zone)
-		z.rosters = append(z.rosters, past.Members)
+		z.rosters = append(z.rosters, past)
 		z.hasEmpty = z.hasEmpty || len(past.Members) == 0
 	}
 	for _, z := range t.zones {
@@ -100,7 +142,7 @@
 		for _, m := range rec.ZoneMembers(z.zone) {
 			roster = append(roster, m.ID)
 		}
-		z.rosters = append(z.rosters, roster)
+		z.rosters = append(z.rosters, PastRoster{Zone: z.zone, Members: roster})
 		z.hasEmpty = z.hasEmpty || len(roster) == 0
 	}
 	sort.Slice(t.zones, func(i, j int) bool { return t.zones[i].zone < t.zones[j].zone })
@@ -109,12 +151,14 @@
 
 // trackSettling updates who is waited for and since when zones are blocked.
 func (c *Core) trackSettling(now time.Time) {
-	t := c.target
-	if t == nil {
-		return
+	for _, t := range c.targets {
+		c.trackTarget(now, t)
 	}
+}
+
+func (c *Core) trackTarget(now time.Time, t *settleTarget) {
 	for _, z := range t.zones {
-		c.trackZone(now, z)
+		c.trackZone(now, t.rec.Revision, z)
 		if !z.blockedAt.IsZero() && !z.hasEmpty && (t.anchoredAt.IsZero() || z.blockedAt.Before(t.anchoredAt)) {
 			t.anchoredAt = z.blockedAt
 		}
@@ -124,8 +168,7 @@
 	}
 }
 
-func (c *Core) trackZone(now time.Time, z *zoneSettling) {
-	revision := c.target.rec.Revision
+func (c *Core) trackZone(now time.Time, revision uint64, z *zoneSettling) {
 	z.waiting, z.undrained = z.waiting[:0], z.undrained[:0]
 	for _, m := range z.members {
 		if !containsMember(c.rec.Roster, m.ID) && !containsMember(c.rec.Departed, m.ID) {
@@ -139,28 +182,35 @@
 			z.undrained = append(z.undrained, m.ID)
 		}
 	}
-	if z.blockedAt.IsZero() && z.isBlocked() {
+	if z.blockedAt.IsZero() && c.isBlocked(z) {
 		z.blockedAt = now
 		c.urgent = c.urgent || z.zone == c.opts.Self.Zone
 	}
 }
 
-// isBlocked reports whether the waiting members are no majority of any roster of the zone.
-func (z *zoneSettling) isBlocked() bool {
+// isBlocked reports whether the waiting members are no majority of any roster of the zone under which they may still
+// act. A member that is known to hold a revision acts under no roster that was replaced up to it; without that, a
+// dead host that joined first would count as the whole of the zone's first roster.
+func (c *Core) isBlocked(z *zoneSettling) bool {
 	for _, roster := range z.rosters {
 		count := 0
-		for _, id := range roster {
-			if slices.Contains(z.waiting, id) {
+		for _, id := range roster.Members {
+			if slices.Contains(z.waiting, id) && (roster.Until == 0 || !c.holds(id, roster.Until)) {
 				count++
 			}
 		}
-		if len(roster) > 0 && count >= majority(len(roster)) {
+		if len(roster.Members) > 0 && count >= majority(len(roster.Members)) {
 			return false
 		}
 	}
 	return true
 }
 
+func (c *Core) holds(id string, revision uint64) bool {
+	held, _ := c.confirmation(id, revision)
+	return held
+}
+
 // ends returns when no member of the zone can start work under a lower revision any more. It is never if that is
 // not known yet, and at once if every member is drained.
 func (t *settleTarget) ends(z *zoneSettling) (at time.Time, atOnce bool) {
@@ -185,10 +235,14 @@
 	return true
 }
 
-// settledNow reports whether it is this relay's turn to write that the target is settled.
-func (c *Core) settledNow(now time.Time) bool {
-	t := c.target
-	return t != nil && !t.settledAt.IsZero() && now.Sub(t.settledAt) >= time.Duration(c.rank(now))*rankDelay
+// settledNow returns the highest target that is settled and that it is this relay's turn to write, or nil.
+func (c *Core) settledNow(now time.Time) *settleTarget {
+	for _, t := range slices.Backward(c.targets) {
+		if !t.settledAt.IsZero() && now.Sub(t.settledAt) >= time.Duration(c.rank(now))*rankDelay {
+			return t
+		}
+	}
+	return nil
 }
 
 // settle records that the target is settled.
@@ -203,14 +257,15 @@
 	return nil
 }
 
-// ownBlocked returns since when the own zone has been blocked for the target.
+// ownBlocked returns since when the own zone has been blocked for the last target.
 func (c *Core) ownBlocked(now time.Time) (uint64, Age) {
-	if c.target == nil {
+	t := c.lastTarget()
+	if t == nil {
 		return 0, 0
 	}
-	for _, z := range c.target.zones {
+	for _, z := range t.zones {
 		if z.zone == c.opts.Self.Zone && !z.blockedAt.IsZero() {
-			return c.target.rec.Revision, ageOf(now, z.blockedAt)
+			return t.rec.Revision, ageOf(now, z.blockedAt)
 		}
 	}
 	return 0, 0
@@ -219,12 +274,13 @@
 // useBlocked takes over an earlier time from a member of the zone, so that a change of the relay does not restart
 // the wait. The age is shortened by its rounding and by the clock error bound.
 func (c *Core) useBlocked(now time.Time, zone int, hb *Heartbeat) {
-	if c.target == nil || hb.Blocked == 0 || hb.BlockedAt != c.target.rec.Revision {
+	t := c.lastTarget()
+	if t == nil || hb.Blocked == 0 || hb.BlockedAt != t.rec.Revision {
 		return
 	}
 	age := max(hb.Blocked.duration()-time.Millisecond, 0) * 100 / (100 + clockErrorPercent)
 	at := now.Add(-age)
-	for _, z := range c.target.zones {
+	for _, z := range t.zones {
 		if z.zone == c.layout.zones[zone] && (z.blockedAt.IsZero() || at.Before(z.blockedAt)) {
 			z.blockedAt = at
 		}
@@ -258,20 +314,21 @@
 		return Progress{}
 	}
 	p := Progress{Revision: c.rec.Revision, BundleVersion: c.rec.BundleVersion, AcceptedVersion: c.rec.AcceptedVersion}
-	if c.target == nil {
+	target := c.bundleTarget()
+	if target == nil {
 		return p
 	}
 	c.trackSettling(now)
-	p.TargetRevision = c.target.rec.Revision
+	p.TargetRevision = target.rec.Revision
 	unknown := false
-	for _, z := range c.target.zones {
+	for _, z := range target.zones {
 		zone := ZoneProgress{Zone: z.zone, Waiting: slices.Clone(z.undrained)}
 		for _, m := range z.members {
 			if !slices.Contains(z.undrained, m.ID) {
 				zone.Confirmed = append(zone.Confirmed, m.ID)
 			}
 		}
-		at, atOnce := c.target.ends(z)
+		at, atOnce := target.ends(z)
 		unknown = unknown || !atOnce && at.IsZero()
 		zone.Until = at
 		p.Until = latest(p.Until, at)
