grant: tune the sizes of grants and bound the store calls

Change: slots are returned and asked for in whole tasks; a host above one and a half times its fair part yields step by step; waiting hosts read again soon while their peers report less use than the cap; reads and writes have budgets of their own, 200 and 76 per second for the whole fleet; a tick serves the teams in rotation.

--- a/grant/calls.go
+++ b/grant/calls.go
@@ -3,23 +3,25 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"citrongauge.example/citrongauge/platform"
 )
 
-// mayCall takes one call from the host's budget.
-func (m *Manager) mayCall(now time.Time, urgent bool) bool {
+// mayCall takes one call from the host's budget of reads or writes.
+func (m *Manager) mayCall(now time.Time, budget *rate.Limiter, urgent bool) bool {
 	least := 1.0
 	if !urgent {
 		least = reservedCalls
 	}
-	if m.sustained.TokensAt(now) < least || !m.paced.AllowN(now, 1) {
+	if budget.TokensAt(now) < least || !m.paced.AllowN(now, 1) {
 		return false
 	}
-	return m.sustained.AllowN(now, 1)
+	return budget.AllowN(now, 1)
 }
 
 func (m *Manager) startRead(now time.Time, t *team, urgent bool, effects []Effect) []Effect {
-	if !m.mayCall(now, urgent) {
+	if !m.mayCall(now, m.reads, urgent) {
 		return effects
 	}
 	m.lastOp++
@@ -28,7 +30,7 @@
 }
 
 func (m *Manager) startWrite(now time.Time, t *team, want int, why reason, effects []Effect) []Effect {
-	if !m.mayCall(now, why.urgent()) {
+	if !m.mayCall(now, m.writes, why.urgent()) {
 		return effects
 	}
 	entry := t.entry()
--- a/grant/cap_test.go
+++ b/grant/cap_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -63,3 +64,32 @@
 		}
 	}
 }
+
+// Guards against a grant that returns while the dead host's work still runs: the host is frozen between the check
+// and the sending of a renewal, wakes just before the lease lapses, and is gone for good after that.
+func TestDelayedRenewal(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		f := newFleet(seed, 2, 2, 1, map[string]int{"a": 1})
+		f.latency = simStep
+		f.runTime = func() time.Duration { return time.Hour }
+		h := f.hosts[0]
+		h.queue["a"] = 1
+		for len(f.running) == 0 || !h.renewAt.Equal(f.now) {
+			f.step()
+		}
+		h.frozen = true
+		f.hosts[1].queue["a"] = 1
+		for lease := f.running[0].lease; f.now.Before(lease.Add(-4 * simStep)); {
+			f.step()
+		}
+		h.frozen = false
+		f.step()
+		h.dead = true
+		for range time.Minute / simStep {
+			f.step()
+		}
+		is.Equal(f.err, "")
+		is.Equal(f.hosts[1].account.InUse("a"), 1) // the slot has returned
+	}
+}
--- a/grant/fleet_test.go
+++ b/grant/fleet_test.go
@@ -234,6 +234,7 @@
 
 func (h *simHost) run() {
 	f := h.f
+	runDue(f.now, &h.inbox) // a woken host first goes on where it stopped
 	if !h.cut && f.chance(0.4) {
 		h.sync()
 	}
@@ -242,8 +243,8 @@
 		f.join(h.member.Zone)
 		return
 	}
-	runDue(f.now, &h.inbox)
 	h.exchange()
+	h.collect()
 	demand := Demand{Teams: map[string]Waiting{}}
 	for _, team := range f.teams {
 		for h.queue[team] > 0 && h.permitted() && h.account.TryAcquire(team, f.slots) {
@@ -255,7 +256,6 @@
 	h.perform(h.m.Step(f.now, demand))
 	h.perform(h.m.Step(f.now, Tick{FreshAt: h.freshAt}))
 	h.renew()
-	h.collect()
 }
 
 // exchange takes over the peers' reports every 500 ms.
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -9,15 +9,16 @@
 )
 
 const (
-	// fleetCalls is the sustained rate of store calls of all hosts together, per second; burstCalls is what one
-	// host may spend above its part, enough for a read and a write of each of 76 teams after a restart.
-	fleetCalls = 140
-	burstCalls = 160
+	// fleetReads and fleetWrites are the sustained rates of store calls of all hosts together, per second;
+	// burstCalls is what one host may spend above its part, enough for each of 76 teams after a restart.
+	fleetReads  = 200
+	fleetWrites = 76
+	burstCalls  = 80
 	// fleetPeak bounds the rate of all hosts during bursts, per second.
 	fleetPeak = 1000
 	peakBurst = 8
 	// reservedCalls is the part of a host's burst that only urgent calls may use.
-	reservedCalls = 40
+	reservedCalls = 20
 
 	backoffStep  = 10 * time.Millisecond
 	maxConflicts = 6
@@ -25,6 +26,8 @@
 	retryAfter = time.Second
 	// goneMemory is how long a cleared host that no ledger names is remembered.
 	goneMemory = 10 * time.Minute
+	// noteInterval is the interval of the search for cleared hosts in the ledgers.
+	noteInterval = time.Second
 )
 
 // Manager decides on the grants of one host incarnation for all teams. It is owned by one goroutine and changes
@@ -47,23 +50,26 @@
 	roster   map[string]bool // roster and departed hosts
 	freshAt  time.Time
 	// gone holds cleared hosts, with the time at which this host first saw them so. Incarnations never return.
-	gone map[string]time.Time
+	gone    map[string]time.Time
+	notedAt time.Time
 
-	lastOp    uint64
-	sustained *rate.Limiter
-	paced     *rate.Limiter
+	lastOp uint64
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	paced  *rate.Limiter
 }
 
 // NewManager returns the manager of the given host incarnation. The seed is for jitter only.
 func NewManager(self string, account *Account, seed uint64) *Manager {
 	return &Manager{
-		self:      self,
-		account:   account,
-		random:    rand.New(rand.NewPCG(seed, 0)),
-		teams:     map[string]*team{},
-		gone:      map[string]time.Time{},
-		sustained: rate.NewLimiter(fleetCalls, burstCalls),
-		paced:     rate.NewLimiter(fleetPeak, peakBurst),
+		self:    self,
+		account: account,
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		teams:   map[string]*team{},
+		gone:    map[string]time.Time{},
+		reads:   rate.NewLimiter(fleetReads, burstCalls),
+		writes:  rate.NewLimiter(fleetWrites, burstCalls),
+		paced:   rate.NewLimiter(fleetPeak, peakBurst),
 	}
 }
 
@@ -114,7 +120,10 @@
 		m.freshAt = e.FreshAt
 	}
 	m.account.expire(now)
-	m.noteGone(now)
+	if now.Sub(m.notedAt) >= noteInterval {
+		m.notedAt = now
+		m.noteGone(now)
+	}
 	var effects []Effect
 	for i := range m.order {
 		t := m.teams[m.order[(m.first+i)%len(m.order)]]
@@ -136,9 +145,13 @@
 		if t == nil {
 			continue
 		}
+		isNew := t.waiting.Slots == 0
 		t.waiting = e.Teams[name]
-		effects = m.decide(now, t, m.account.InUse(name), effects)
-		m.apply(t)
+		if isNew && t.waiting.Slots > 0 {
+			// The others wait for the next tick, which treats all teams alike.
+			effects = m.decide(now, t, m.account.InUse(name), effects)
+			m.apply(t)
+		}
 	}
 	return effects
 }
@@ -178,7 +191,7 @@
 		return effects
 	}
 	if why == refresh {
-		if now.Sub(t.viewAt) < askInterval {
+		if now.Sub(t.viewAt) < t.refreshAfter(used) {
 			return effects
 		}
 		return m.startRead(now, t, true, effects)
@@ -229,6 +242,9 @@
 
 // others returns the sum of the other hosts' entries that count.
 func (m *Manager) others(now time.Time, t *team) int {
+	if !t.namesGone {
+		return t.sum - t.entry()
+	}
 	sum := 0
 	for host, slots := range t.view.Entries {
 		if m.counts(now, host) {
--- a/grant/roster.go
+++ b/grant/roster.go
@@ -35,7 +35,8 @@
 	m.roster = known
 	_, m.member = record.Member(m.self)
 	m.rank, m.members = rank(record, m.self)
-	m.sustained.SetLimitAt(now, fleetCalls/rate.Limit(max(1, m.members)))
+	m.reads.SetLimitAt(now, fleetReads/rate.Limit(max(1, m.members)))
+	m.writes.SetLimitAt(now, fleetWrites/rate.Limit(max(1, m.members)))
 	m.paced.SetLimitAt(now, fleetPeak/rate.Limit(max(1, m.members)))
 }
 
@@ -47,12 +48,14 @@
 		if !t.known {
 			continue
 		}
+		t.namesGone = false
 		for host := range t.view.Entries {
 			seen[host] = true
 			_, isGone := m.gone[host]
 			if !isGone && !m.roster[host] && t.seenAt.Before(m.freshAt) {
 				m.gone[host] = now
 			}
+			t.namesGone = t.namesGone || isGone
 		}
 	}
 	for host, since := range m.gone {
--- a/grant/sim_test.go
+++ b/grant/sim_test.go
@@ -22,6 +22,10 @@
 			h.lose(e)
 			continue
 		}
+		if f.latency == 0 {
+			h.perform(h.m.Step(f.now, e.Run(context.Background(), f)))
+			continue
+		}
 		wait := f.delay(f.latency)
 		if f.slow {
 			wait = f.delay(StoreTimeout)
--- a/grant/size.go
+++ b/grant/size.go
@@ -3,16 +3,20 @@
 import "time"
 
 const (
-	// floorPercent is the part of a cap that idle hosts keep together, so that a busy team reaches at least 95% of
+	// floorPercent is the part of a cap that idle hosts keep together: less than 5%, so that a busy team reaches at least 95% of
 	// its cap and an isolated zone can still start some work of a large team.
-	floorPercent = 4
+	floorPercent = 3
 	// askInterval limits the requests for a larger grant of one team.
 	askInterval = time.Second
+	// minRefresh is the interval of the reads of a host with unmet demand while its peers report less use than the
+	// cap. While they report more, or nothing changes, the interval grows to maxRefresh.
+	minRefresh = 500 * time.Millisecond
+	maxRefresh = 4 * time.Second
 	// yieldInterval limits the returns in favour of hosts with unmet demand.
 	yieldInterval = 250 * time.Millisecond
 	// surgeWindow is how long slots must be unused before they are returned to hosts with unmet demand. It keeps
 	// slots that are free for a moment only between two tasks.
-	surgeWindow = 500 * time.Millisecond
+	surgeWindow = 250 * time.Millisecond
 	// idleReturn is how long slots must be unused before they are returned while little of the cap is free, and
 	// relaxedReturn while much is free. Returning at once would cost a write for nearly every task of a team with
 	// little work.
@@ -21,7 +25,7 @@
 	// deferTime is how long free slots are left to peers that lack more.
 	deferTime = 2 * time.Second
 	// viewAge is the age at which a view is read again before a write, since the write would probably fail.
-	viewAge = time.Second
+	viewAge = 100 * time.Millisecond
 )
 
 // reason is why a host wants to change its entry. The order is that of the tests in plan.
@@ -128,8 +132,8 @@
 	if t.soft >= 0 {
 		return 0
 	}
-	fair := max(t.fair(s)-t.entry(), free/2)
-	if fair > 0 {
+	fair := max(t.whole(t.fair(s))-t.entry(), free/2)
+	if t.entry()+fair-s.used >= t.next() {
 		t.deferred = time.Time{}
 		return fair
 	}
@@ -165,8 +169,8 @@
 	}
 	entry := t.entry()
 	t.soft = -1
-	if fair := t.fair(s); entry > fair+max(1, fair/2) && t.unmet(s.used) > 0 {
-		t.soft = max(fair, entry-max(1, entry/8))
+	if fair := t.fair(s); entry > fair+max(1, fair/2) {
+		t.soft = t.whole(max(fair, entry-max(1, entry/8)))
 	}
 	keep := max(t.surge.max(), s.floor)
 	if t.soft >= 0 {
@@ -176,6 +180,20 @@
 	return keep, keep < entry
 }
 
+// refreshAfter returns the age at which the view is read again for unmet demand.
+func (t *team) refreshAfter(used int) time.Duration {
+	if used+t.peers.InUse+t.next() <= t.cap-t.cap*floorPercent/100 {
+		return minRefresh
+	}
+	return t.refresh
+}
+
+// whole rounds up to a multiple of the size of the next task: less would not run another one.
+func (t *team) whole(slots int) int {
+	n := t.next()
+	return (slots + n - 1) / n * n
+}
+
 // unused returns the smaller entry to keep if slots were unused for long.
 func (t *team) unused(s sizing, free int) (int, bool) {
 	window := &t.relaxed
--- a/grant/team.go
+++ b/grant/team.go
@@ -34,10 +34,12 @@
 	view     Ledger
 	revision uint64
 	sum      int // of the view's entries
-	known    bool
-	stale    bool      // the view must be read again before a write
-	viewAt   time.Time // when the call that brought the view was sent
-	seenAt   time.Time // when its answer came
+	// namesGone says that the view names a host that is cleared.
+	namesGone bool
+	known     bool
+	stale     bool      // the view must be read again before a write
+	viewAt    time.Time // when the call that brought the view was sent
+	seenAt    time.Time // when its answer came
 
 	// A write with an unknown answer may be applied as long as the key is at doubtRevision.
 	doubt         bool
@@ -56,6 +58,7 @@
 	due       time.Time
 	notBefore time.Time
 	lastAsk   time.Time
+	refresh   time.Duration // interval of reads while there are no free slots
 	lastYield time.Time
 	deferred  time.Time // since when free slots were left to peers
 	conflicts int
@@ -76,7 +79,7 @@
 }
 
 func newTeam(name, self string) *team {
-	t := &team{name: name, self: self, soft: -1}
+	t := &team{name: name, self: self, soft: -1, refresh: minRefresh}
 	t.surge.window = surgeWindow
 	t.recent.window = idleReturn
 	t.relaxed.window = relaxedReturn
@@ -149,6 +152,11 @@
 
 // see takes over a confirmed ledger.
 func (t *team) see(view Ledger, revision uint64, op *operation, version uint64) {
+	if op.write != nil || revision != t.revision {
+		t.refresh = minRefresh
+	} else {
+		t.refresh = min(2*t.refresh, maxRefresh)
+	}
 	t.view, t.revision, t.viewAt = view, revision, op.sent
 	t.sum = view.Sum()
 	t.known, t.stale = true, false
