--- a/grant/calls.go
+++ b/grant/calls.go
@@ -3,23 +3,25 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"citrongauge.example/citrongauge/platform"
 )
 
-// mayCall takes one call from the host's budget.
-func (m *Manager) mayCall(now time.Time, urgent bool) bool {
+// mayCall takes one call from the host's budget of reads or writes.
+func (m *Manager) mayCall(now time.Time, budget *rate.Limiter, urgent bool) bool {
 	least := 1.0
 	if !urgent {
 		least = reservedCalls
 	}
-	if m.sustained.TokensAt(now) < least || !m.paced.AllowN(now, 1) {
+	if budget.TokensAt(now) < least || !m.paced.AllowN(now, 1) {
 		return false
 	}
-	return m.sustained.AllowN(now, 1)
+	return budget.AllowN(now, 1)
 }
 
 func (m *Manager) startRead(now time.Time, t *team, urgent bool, effects []Effect) []Effect {
-	if !m.mayCall(now, urgent) {
+	if !m.mayCall(now, m.reads, urgent) {
 		return effects
 	}
 	m.lastOp++
@@ -27,17 +29,15 @@
 	return append(effects, Read{Team: t.name, Op: m.lastOp})
 }
 
-func (m *Manager) startWrite(now time.Time, t *team, next Ledger, want int, why reason, effects []Effect) []Effect {
-	if !m.mayCall(now, why.urgent()) {
+func (m *Manager) startWrite(now time.Time, t *team, want int, why reason, effects []Effect) []Effect {
+	if !m.mayCall(now, m.writes, why.urgent()) {
 		return effects
 	}
 	entry := t.entry()
 	if want < entry {
 		want = min(entry, m.account.lower(t.name, want))
 	}
-	if want > 0 {
-		next.Entries[m.self] = want
-	}
+	next := m.ledger(now, t, want)
 	value, err := next.Encode()
 	if err != nil {
 		return effects
@@ -53,6 +53,21 @@
 	return append(effects, Write{Team: t.name, Op: m.lastOp, Revision: t.revision, Value: value})
 }
 
+// ledger returns the ledger to write with the given entry of this host.
+func (m *Manager) ledger(now time.Time, t *team, want int) Ledger {
+	next := Ledger{Entries: make(map[string]int, len(t.view.Entries)+1)}
+	next.Cap, next.Version = t.nextCap(m.version, m.accepted)
+	for host, slots := range t.view.Entries {
+		if m.counts(now, host) {
+			next.Entries[host] = slots
+		}
+	}
+	if want > 0 {
+		next.Entries[m.self] = want
+	}
+	return next
+}
+
 // answered takes the answer to the team's call. Answers to other calls are ignored.
 func (m *Manager) answered(now time.Time, name string, id uint64, take func(*team, *operation)) []Effect {
 	t := m.teams[name]
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -9,15 +9,16 @@
 )
 
 const (
-	// fleetCalls is the sustained rate of store calls of all hosts together, per second; burstCalls is what one
-	// host may spend above its part, enough for a read and a write of each of 76 teams after a restart.
-	fleetCalls = 140
-	burstCalls = 160
+	// fleetReads and fleetWrites are the sustained rates of store calls of all hosts together, per second;
+	// burstCalls is what one host may spend above its part, enough for each of 76 teams after a restart.
+	fleetReads  = 200
+	fleetWrites = 76
+	burstCalls  = 80
 	// fleetPeak bounds the rate of all hosts during bursts, per second.
 	fleetPeak = 1000
 	peakBurst = 8
 	// reservedCalls is the part of a host's burst that only urgent calls may use.
-	reservedCalls = 40
+	reservedCalls = 20
 
 	backoffStep  = 10 * time.Millisecond
 	maxConflicts = 6
@@ -25,6 +26,8 @@
 	retryAfter = time.Second
 	// goneMemory is how long a cleared host that no ledger names is remembered.
 	goneMemory = 10 * time.Minute
+	// noteInterval is the interval of the search for cleared hosts in the ledgers.
+	noteInterval = time.Second
 )
 
 // Manager decides on the grants of one host incarnation for all teams. It is owned by one goroutine and changes
@@ -47,23 +50,26 @@
 	roster   map[string]bool // roster and departed hosts
 	freshAt  time.Time
 	// gone holds cleared hosts, with the time at which this host first saw them so. Incarnations never return.
-	gone map[string]time.Time
+	gone    map[string]time.Time
+	notedAt time.Time
 
-	lastOp    uint64
-	sustained *rate.Limiter
-	paced     *rate.Limiter
+	lastOp uint64
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	paced  *rate.Limiter
 }
 
 // NewManager returns the manager of the given host incarnation. The seed is for jitter only.
 func NewManager(self string, account *Account, seed uint64) *Manager {
 	return &Manager{
-		self:      self,
-		account:   account,
-		random:    rand.New(rand.NewPCG(seed, 0)),
-		teams:     map[string]*team{},
-		gone:      map[string]time.Time{},
-		sustained: rate.NewLimiter(fleetCalls, burstCalls),
-		paced:     rate.NewLimiter(fleetPeak, peakBurst),
+		self:    self,
+		account: account,
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		teams:   map[string]*team{},
+		gone:    map[string]time.Time{},
+		reads:   rate.NewLimiter(fleetReads, burstCalls),
+		writes:  rate.NewLimiter(fleetWrites, burstCalls),
+		paced:   rate.NewLimiter(fleetPeak, peakBurst),
 	}
 }
 
@@ -114,7 +120,10 @@
 		m.freshAt = e.FreshAt
 	}
 	m.account.expire(now)
-	m.noteGone(now)
+	if now.Sub(m.notedAt) >= noteInterval {
+		m.notedAt = now
+		m.noteGone(now)
+	}
 	var effects []Effect
 	for i := range m.order {
 		t := m.teams[m.order[(m.first+i)%len(m.order)]]
@@ -136,9 +145,13 @@
 		if t == nil {
 			continue
 		}
+		isNew := t.waiting.Slots == 0
 		t.waiting = e.Teams[name]
-		effects = m.decide(now, t, m.account.InUse(name), effects)
-		m.apply(t)
+		if isNew && t.waiting.Slots > 0 {
+			// The others wait for the next tick, which treats all teams alike.
+			effects = m.decide(now, t, m.account.InUse(name), effects)
+			m.apply(t)
+		}
 	}
 	return effects
 }
@@ -173,12 +186,12 @@
 		}
 		return m.startRead(now, t, t.waiting.Slots > 0, effects)
 	}
-	next, want, why := m.plan(now, t, used, floor)
+	want, why := m.plan(now, t, used, floor)
 	if !m.isDue(now, t, why) {
 		return effects
 	}
 	if why == refresh {
-		if now.Sub(t.viewAt) < askInterval {
+		if now.Sub(t.viewAt) < t.refreshAfter(used) {
 			return effects
 		}
 		return m.startRead(now, t, true, effects)
@@ -186,49 +199,59 @@
 	if t.stale || now.Sub(t.viewAt) > viewAge {
 		return m.startRead(now, t, why.urgent(), effects)
 	}
-	return m.startWrite(now, t, next, want, why, effects)
+	return m.startWrite(now, t, want, why, effects)
 }
 
-// plan returns the ledger to write, without this host's entry, the entry and the reason.
-func (m *Manager) plan(now time.Time, t *team, used, floor int) (Ledger, int, reason) {
-	var next Ledger
-	next.Cap, next.Version = t.nextCap(m.version, m.accepted)
-	next.Entries = m.survivors(now, t)
+// plan returns the entry to write and the reason.
+func (m *Manager) plan(now time.Time, t *team, used, floor int) (int, reason) {
+	limit, _ := t.nextCap(m.version, m.accepted)
+	entry := t.entry()
+	sum := entry + m.others(now, t)
 	s := sizing{
 		now:   now,
 		used:  used,
 		floor: floor,
-		room:  next.Cap - next.Sum(),
-		raise: m.version >= t.view.Version && (!t.suspended || t.entry() == 0),
+		cap:   limit,
+		sum:   sum,
+		room:  limit - (sum - entry),
+		raise: m.version >= t.view.Version && (!t.suspended || entry == 0),
 	}
 	if m.leaving {
-		s.room = min(s.room, used)
 		s.raise = false
+		s.room = min(s.room, 0)
+		s.cap = 0
 	}
 	want, why := t.want(s)
-	if t.mustRecord(m.version) || t.doubt || t.suspended && t.entry() > 0 {
-		return next, min(want, t.entry()), lower
+	if t.mustRecord(m.version) || t.doubt || t.suspended && entry > 0 {
+		return min(want, entry), lower
 	}
-	if why == lower && want == t.entry() {
+	if why == lower && want == entry {
 		why = nothing
 		if t.unmet(used) > 0 {
 			why = refresh
 		}
 	}
-	return next, want, why
+	return want, why
 }
 
-// survivors returns the entries of the other hosts that still count.
-func (m *Manager) survivors(now time.Time, t *team) map[string]int {
-	entries := make(map[string]int, len(t.view.Entries))
+// counts says whether the entry of another host still counts.
+func (m *Manager) counts(now time.Time, host string) bool {
+	since, isGone := m.gone[host]
+	return host != m.self && !(isGone && now.Sub(since) >= ReclaimAfter)
+}
+
+// others returns the sum of the other hosts' entries that count.
+func (m *Manager) others(now time.Time, t *team) int {
+	if !t.namesGone {
+		return t.sum - t.entry()
+	}
+	sum := 0
 	for host, slots := range t.view.Entries {
-		since, isGone := m.gone[host]
-		if host == m.self || isGone && now.Sub(since) >= ReclaimAfter {
-			continue
+		if m.counts(now, host) {
+			sum += slots
 		}
-		entries[host] = slots
 	}
-	return entries
+	return sum
 }
 
 // isDue delays a planned call by its jitter, counted from the first time it was planned.
