Test zone changes, a store outage and drains over real processes

Cause: these conditions were only covered by property tests of single packages. Change: three tests with load on every entry host.

--- a/cmd/citrongauge/fleet_test.go
+++ b/cmd/citrongauge/fleet_test.go
@@ -218,6 +218,13 @@
 	return client
 }
 
+func (f *fleet) assignments() []admin.AssignmentReport {
+	f.t.Helper()
+	assignments, err := f.client(f.hosts[0]).Assignments(context.Background())
+	f.must(err)
+	return assignments
+}
+
 func (f *fleet) waitAssignments() {
 	f.t.Helper()
 	f.eventually("assignments", 20*time.Second, func() bool {
--- a/cmd/citrongauge/process_test.go
+++ b/cmd/citrongauge/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"syscall"
@@ -12,6 +13,7 @@
 	"citrongauge.example/citrongauge/api"
 	"citrongauge.example/citrongauge/bundle"
 	"citrongauge.example/citrongauge/result"
+	"citrongauge.example/citrongauge/testbed/standin"
 )
 
 // acceptanceBound is the time within which a change is in force everywhere.
@@ -201,3 +203,136 @@
 		}
 	}
 }
+
+// load sends requests in a loop to all hosts of a fleet until stop, and counts the answers by code.
+type load struct {
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	counts map[result.Code]int
+	failed int
+	done   chan struct{}
+}
+
+func (f *fleet) startLoad(s api.Submission) *load {
+	l := &load{counts: make(map[result.Code]int), done: make(chan struct{})}
+	for _, h := range f.hosts {
+		l.wg.Go(func() {
+			for {
+				select {
+				case <-l.done:
+					return
+				default:
+				}
+				a, err := f.post(h, f.teamKeys["blue"], "work", s, "")
+				l.mu.Lock()
+				if err != nil {
+					l.failed++
+				}
+				l.counts[a.Code]++
+				l.mu.Unlock()
+			}
+		})
+	}
+	return l
+}
+
+// stop ends the load and returns the number of answers by code and of calls without an answer.
+func (l *load) stop() (map[result.Code]int, int) {
+	close(l.done)
+	l.wg.Wait()
+	return l.counts, l.failed
+}
+
+// Guards against tasks that start in an availability zone after it was taken out, and against requests that are cut
+// off or refused while a zone leaves and returns.
+func TestZoneTakenOutUnderLoad(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 1, 2, nil)
+	l := f.startLoad(api.Submission{RunMS: 30, DeadlineMS: 10000})
+	time.Sleep(300 * time.Millisecond)
+	elapsed := f.rollOut(func(b *bundle.Bundle) { b.Zones[2].OutOfService = true })
+	accepted := time.Now().UnixNano()
+	is.True(elapsed < acceptanceBound)
+	time.Sleep(500 * time.Millisecond)
+	for id, u := range f.upstreams {
+		for _, e := range u.Executions() {
+			if strings.HasPrefix(id, "c") && e.StartUnixNS > accepted {
+				t.Errorf("upstream %s started a task %v after acceptance", id, time.Duration(e.StartUnixNS-accepted))
+			}
+		}
+	}
+	f.rollOut(func(b *bundle.Bundle) { b.Zones[2].OutOfService, b.Zones[2].RampMS = false, 100 })
+	back := time.Now().UnixNano()
+	f.eventually("work in the zone again", 5*time.Second, func() bool {
+		for id, u := range f.upstreams {
+			for _, e := range u.Executions() {
+				if strings.HasPrefix(id, "c") && e.StartUnixNS > back {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	counts, failed := l.stop()
+	t.Logf("taken out and accepted within %v; answers %v, without answer %d", elapsed, counts, failed)
+	is.Equal(failed, 0)
+	is.Equal(len(counts), 1)
+	is.True(counts[result.OK] > 0)
+}
+
+// Guards against a fleet that stops working with its store, and against a roll-out that is reported although the
+// store did not take it.
+func TestStoreOutage(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 1, 2, nil)
+	l := f.startLoad(api.Submission{RunMS: 20, DeadlineMS: 10000})
+	time.Sleep(1500 * time.Millisecond) // the hosts have grants by then
+	f.must(f.platform.SetFaults(standin.PlatformFaults{Outage: true}))
+	time.Sleep(5 * time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	next := *f.bundle
+	next.Base, next.Version = next.Version, next.Version+1
+	_, err := f.client(f.hosts[0]).Rollout(ctx, bundle.Sign(&next, f.operator, operatorName), &next)
+	is.True(err != nil)
+	counts, failed := l.stop()
+	t.Logf("answers %v, without answer %d", counts, failed)
+	is.Equal(failed, 0)
+	is.Equal(len(counts), 1)
+	is.True(counts[result.OK] > 100)
+	f.must(f.platform.SetFaults(standin.PlatformFaults{}))
+	is.True(f.rollOut(func(b *bundle.Bundle) { b.Reason = "after the outage" }) < 10*time.Second)
+}
+
+// Guards against a planned stop of an upstream that cuts off requests, and against a second stop above the budget.
+func TestDrainsStayWithinBudgetAndCutOffNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 1, 2, nil)
+	l := f.startLoad(api.Submission{RunMS: 200, DeadlineMS: 10000})
+	until := time.Now().Add(time.Hour).UTC().Format(time.RFC3339)
+	f.rollOut(func(b *bundle.Bundle) {
+		for _, host := range []string{"a0", "b0"} {
+			b.Interventions = append(b.Interventions, bundle.Intervention{
+				ID: host, Kind: bundle.InterventionDrain, Target: host, Author: operatorName, Reason: "two drains, budget of one", Until: until,
+			})
+		}
+	})
+	drained := func() (hosts []string) {
+		for _, a := range f.assignments() {
+			if a.Unavailable {
+				hosts = append(hosts, a.Host)
+			}
+		}
+		return hosts
+	}
+	f.eventually("first drain", 10*time.Second, func() bool { return len(drained()) == 1 })
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		is.True(len(drained()) <= 1) // the pool's budget is one
+	}
+	counts, failed := l.stop()
+	t.Logf("answers %v, without answer %d", counts, failed)
+	is.Equal(failed, 0)
+	is.Equal(len(counts), 1)
+	is.True(counts[result.OK] > 0)
+}
