Refuse reboots of hosts that are not drained in the stand-ins

A reboot has no epoch, so an entry host that was paused between its check and the call could reboot a host that is back in service. The platform's interface says that it reboots drained hosts; the stand-in now holds to that, and refuses with ErrConflict. A planned reboot keeps the epoch and the drain, a crash forgets both.

errors.Wrap of go-faster/errors returns an error for a nil one. shutDownStandin wrapped the result of Close without a check, so that a stand-in which does not stop within 2 s would have ended with an error (found by reading, not by a run).

--- a/cmd/cgctl/standin.go
+++ b/cmd/cgctl/standin.go
@@ -167,8 +167,11 @@
 func shutDownStandin(server *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), standinShutdown)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		return errors.Wrap(server.Close(), "close")
+	if server.Shutdown(ctx) == nil {
+		return nil
+	}
+	if err := server.Close(); err != nil {
+		return errors.Wrap(err, "close")
 	}
 	return nil
 }
--- a/testbed/standin/hosts.go
+++ b/testbed/standin/hosts.go
@@ -36,17 +36,21 @@
 	return &hostList{hosts: map[string]Host{}}
 }
 
-// update changes a host and records the new list. It returns false if change does.
-func (l *hostList) update(now time.Time, id string, change func(h *Host, known bool) bool) bool {
+func (l *hostList) get(id string) (Host, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	host, known := l.hosts[id]
-	if !change(&host, known) {
-		return false
-	}
+	return host, known
+}
+
+// update adds or changes a host and records the new list.
+func (l *hostList) update(now time.Time, id string, change func(h *Host)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	host := l.hosts[id]
+	change(&host)
 	l.hosts[id] = host
 	l.record(now)
-	return true
 }
 
 func (l *hostList) record(now time.Time) {
--- a/testbed/standin/platform_control.go
+++ b/testbed/standin/platform_control.go
@@ -14,7 +14,7 @@
 )
 
 // rebootTimeout bounds the call by which the platform tells an upstream stand-in to reboot.
-const rebootTimeout = 2 * time.Second
+const rebootTimeout = 500 * time.Millisecond
 
 // rebootClient uses no proxy.
 var rebootClient = &http.Client{Transport: &http.Transport{}}
@@ -51,61 +51,61 @@
 
 // SetHost adds or changes a host of the host list.
 func (p *Platform) SetHost(id string, host Host) {
-	p.hosts.update(time.Now(), id, func(h *Host, _ bool) bool {
-		*h = host
-		return true
-	})
+	p.hosts.update(time.Now(), id, func(h *Host) { *h = host })
 }
 
-// reboot takes the host out of the list, tells its upstream, and returns it after RebootMS.
+// reboot reboots a drained host: it is out of the list for RebootMS. A host that is not drained is refused.
 func (p *Platform) reboot(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["id"]
 	faults := p.enter(r, func(c *PlatformCounters) { c.Reboots++ })
-	var address string
-	started := false
-	known := p.hosts.update(time.Now(), id, func(h *Host, known bool) bool {
-		if known && h.State != platform.HostGone {
-			h.State = platform.HostGone
-			address = h.Upstream
-			started = true
-		}
-		return known
-	})
-	if started {
-		pause := time.Duration(faults.RebootMS) * time.Millisecond
-		go tellReboot(address, pause)
-		time.AfterFunc(pause, func() { p.returnHost(id) })
-	}
+	code := p.startReboot(id, time.Duration(faults.RebootMS)*time.Millisecond)
 	p.leave(r, faults)
-	if !known {
-		writeCode(w, http.StatusNotFound, platform.CodeNotFound)
-		return
+	status := map[platform.Code]int{
+		platform.CodeOK:       http.StatusOK,
+		platform.CodeNotFound: http.StatusNotFound,
+		platform.CodeConflict: http.StatusConflict,
 	}
-	writeCode(w, http.StatusOK, platform.CodeOK)
+	writeCode(w, status[code], code)
 }
 
-func (p *Platform) returnHost(id string) {
-	p.hosts.update(time.Now(), id, func(h *Host, _ bool) bool {
-		h.State = platform.HostLive
-		return true
-	})
+func (p *Platform) startReboot(id string, pause time.Duration) platform.Code {
+	host, known := p.hosts.get(id)
+	switch {
+	case !known:
+		return platform.CodeNotFound
+	case host.State == platform.HostGone:
+		return platform.CodeOK // a reboot is under way
+	case !tellReboot(host.Upstream, pause):
+		return platform.CodeConflict
+	}
+	p.setState(id, platform.HostGone)
+	time.AfterFunc(pause, func() { p.setState(id, platform.HostLive) })
+	return platform.CodeOK
 }
 
-func tellReboot(address string, pause time.Duration) {
+func (p *Platform) setState(id string, state platform.HostState) {
+	p.hosts.update(time.Now(), id, func(h *Host) { h.State = state })
+}
+
+// tellReboot reboots an upstream stand-in and returns false if that refuses because it is not drained. One that does
+// not answer is rebooted all the same.
+func tellReboot(address string, pause time.Duration) bool {
 	if address == "" {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), rebootTimeout)
 	defer cancel()
-	body, _ := json.Marshal(RebootRequest{PauseMS: pause.Milliseconds(), KeepDrain: true})
+	body, _ := json.Marshal(RebootRequest{PauseMS: pause.Milliseconds(), Planned: true})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/control/reboot", bytes.NewReader(body))
 	if err != nil {
-		return
+		return true
 	}
 	response, err := rebootClient.Do(request)
-	if err == nil {
-		_ = response.Body.Close()
+	if err != nil {
+		return true
 	}
+	_ = response.Body.Close()
+	return response.StatusCode != http.StatusConflict
 }
 
 // readBody reads at most limit bytes; what is beyond is dropped with the connection.
--- a/testbed/standin/standin_test.go
+++ b/testbed/standin/standin_test.go
@@ -139,6 +139,7 @@
 	is.NoErr(err)
 	is.Equal(hosts, []platform.HostStatus{{ID: "u1", State: platform.HostLive, Drained: true}})
 
+	is.True(errors.Is(client.Reboot(ctx, "u1"), platform.ErrConflict)) // not drained
 	is.NoErr(up.Drain(ctx, 3, true))
 	before, err := up.Status(ctx)
 	is.NoErr(err)
@@ -149,6 +150,10 @@
 	is.NoErr(err)
 	is.True(after.BootID != before.BootID)
 	is.True(after.Draining && after.PoolEpoch == 3) // a platform reboot keeps the drain
+	is.True(u.Reboot(standin.RebootRequest{}))
+	crashed, err := up.Status(ctx)
+	is.NoErr(err)
+	is.True(!crashed.Draining && crashed.PoolEpoch == 0)
 }
 
 // Guards against a start under a reservation that lapsed, was fenced, released or overtaken by a higher epoch.
--- a/testbed/standin/upstream_http.go
+++ b/testbed/standin/upstream_http.go
@@ -52,8 +52,9 @@
 type RebootRequest struct {
 	// PauseMS is the time during which no call is answered.
 	PauseMS int64 `json:"pause_ms"`
-	// KeepDrain keeps the epoch and a drain, as the platform does when it reboots a host. A crash forgets both.
-	KeepDrain bool `json:"keep_drain"`
+	// Planned is set when the platform reboots the host. It is refused unless the upstream is drained, and keeps
+	// the epoch and the drain. A crash is never refused and forgets both.
+	Planned bool `json:"planned"`
 }
 
 func (u *Upstream) routes() {
@@ -67,8 +68,8 @@
 	}).Methods(http.MethodPut)
 	u.router.HandleFunc("/control/reboot", func(w http.ResponseWriter, r *http.Request) {
 		var request RebootRequest
-		if decode(w, r, &request) {
-			u.Reboot(request)
+		if decode(w, r, &request) && !u.Reboot(request) {
+			http.Error(w, "not drained", http.StatusConflict)
 		}
 	}).Methods(http.MethodPost)
 	u.router.HandleFunc("/control/executions", func(w http.ResponseWriter, r *http.Request) {
@@ -95,16 +96,20 @@
 	u.faults = f
 }
 
-// Reboot restarts the upstream. Its running tasks end as failed.
-func (u *Upstream) Reboot(r RebootRequest) {
+// Reboot restarts the upstream, or returns false if that is refused. Its running tasks end as failed.
+func (u *Upstream) Reboot(r RebootRequest) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if r.Planned && (!u.draining || len(u.open) > 0) {
+		return false
+	}
 	now := time.Now()
 	u.boot(now)
 	u.downUntil = now.Add(time.Duration(r.PauseMS) * time.Millisecond)
-	if !r.KeepDrain {
+	if !r.Planned {
 		u.epoch, u.draining = 0, false
 	}
+	return true
 }
 
 // Executions returns the log of all executions, also those before a reboot.
