--- /dev/null
+++ b/testbed/standin/maintenance_test.go
@@ -0,0 +1,84 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/bundle"
+	"citrongauge.example/citrongauge/control"
+	"citrongauge.example/citrongauge/maintenance"
+	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/testbed/standin"
+	"citrongauge.example/citrongauge/upstream"
+)
+
+// Guards against differences between what package maintenance expects and what the protocols give: a host is
+// drained while a task runs, is rebooted after the task, and takes work again.
+func TestMaintenanceOverHTTP(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	p, hosts := newPlatform(t)
+	u := standin.NewUpstream(standin.UpstreamConfig{ID: "u1", Capacity: upstream.Size{Slots: 1}})
+	address := serve(t, u)
+	up := upstream.NewHTTP(address, upstream.NewTransport())
+	p.SetHost("u1", standin.Host{State: platform.HostLive, Upstream: address})
+	is.NoErr(p.SetFaults(standin.PlatformFaults{RebootMS: 100}))
+	b := &bundle.Bundle{
+		Version: 1,
+		Zones:   []bundle.Zone{{Name: "a"}},
+		Hosts:   []bundle.Host{{ID: "u1", Zone: "a", Rack: "r"}},
+		Pools: []bundle.Pool{{
+			Name: "p", Hosts: []string{"u1"}, DrainMS: 5000, MaintainEveryHours: 1,
+			Budget: bundle.Budget{MaxUnavailable: 1},
+		}},
+	}
+	record := maintenance.Reconcile(control.Record{BundleVersion: 1}, b)
+	began := time.Now()
+	record.Assignments[0].MaintainedUnixMS = began.Add(-time.Hour).UnixMilli()
+	observe := func() maintenance.Observations {
+		now := time.Now()
+		obs := maintenance.Observations{RecordAt: now, HostListAt: now, Hosts: map[string]maintenance.HostObservation{}}
+		list, err := hosts.Hosts(ctx)
+		is.NoErr(err)
+		if status, err := up.Status(ctx); err == nil {
+			obs.Hosts["u1"] = maintenance.HostObservation{At: now, Status: status, Listed: list[0].State}
+		}
+		return obs
+	}
+	apply := func(changes ...maintenance.Change) {
+		var err error
+		record, err = maintenance.Apply(record, changes)
+		is.NoErr(err)
+	}
+	act := func() {
+		for _, a := range maintenance.Actions(time.Now(), b, &record, observe()) {
+			if a.Kind == maintenance.Commit {
+				apply(a.Change)
+				continue
+			}
+			if a.Kind == maintenance.Drain {
+				_, ok := maintenance.Recheck(time.Now(), b, &record, observe(), a.Host)
+				is.True(ok)
+			}
+			is.NoErr(maintenance.Perform(ctx, a, up, hosts))
+		}
+	}
+	act() // opens the host at its epoch
+	is.NoErr(up.Reserve(ctx, reservation("a", "", record.Assignments[0].Epoch)))
+	is.NoErr(up.Start(ctx, upstream.Task{AttemptID: "a", RunMS: 300}))
+	apply(maintenance.Plan(time.Now(), b, &record, observe())...)
+	is.Equal(record.Assignments[0].State, control.Draining)
+	for record.Assignments[0].State != control.InService && time.Since(began) < 10*time.Second {
+		act()
+		time.Sleep(10 * time.Millisecond)
+	}
+	act()
+	is.True(record.Assignments[0].MaintainedUnixMS > began.UnixMilli())
+	is.Equal(u.Executions()[0].State, upstream.StateDone) // the drain waited for the task
+	is.NoErr(up.Reserve(ctx, reservation("b", "", record.Assignments[0].Epoch)))
+	status, err := up.Status(ctx)
+	is.NoErr(err)
+	is.Equal(status.BootID, "u1-boot-2")
+}
