--- a/cmd/cgctl/standin.go
+++ b/cmd/cgctl/standin.go
@@ -167,7 +167,7 @@
 func shutDownStandin(server *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), standinShutdown)
 	defer cancel()
-	if err := server.Shutdown(ctx); err == nil {
+	if server.Shutdown(ctx) == nil {
 		return nil
 	}
 	if err := server.Close(); err != nil {
