--- a/routing/health.go
+++ b/routing/health.go
@@ -13,7 +13,7 @@
 	ejectBase         = 5 * time.Second
 	ejectMax          = 60 * time.Second
 	probationOK       = 3 // successes in a row that end the probation
-	suspectHosts      = 3 // hosts on which a team's tasks fail before its failures stop counting against hosts
+	suspectHosts      = 2 // hosts on which a team's tasks fail before its failures stop counting against hosts
 	cutInterval       = 100 * time.Millisecond
 	refusalCut        = 0.8
 	latencyCut        = 0.95
@@ -86,7 +86,7 @@
 	case Unreachable:
 		t.failed(p, h, c, now)
 	case TaskFailed:
-		if !p.suspect(r.Team, h.id) {
+		if !t.suspect(p, r.Team, h.id) {
 			t.failed(p, h, c, now)
 		}
 	}
@@ -98,15 +98,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.hosts[hostID]
-	if h == nil || h.health.streak == 0 {
-		return
+	if h != nil {
+		h.health.absolve(1)
 	}
-	h.health.streak--
-	if h.health.ejected && h.health.streak < ejectAfter {
-		h.health.ejected, h.health.probation, h.health.good = false, true, 0
+}
+
+// absolve takes back up to n failures. A host that was ejected for them goes to probation.
+func (h *health) absolve(n int) {
+	h.streak = max(0, h.streak-n)
+	if h.ejected && h.streak < ejectAfter {
+		h.endEjection()
 	}
 }
 
+func (h *health) endEjection() {
+	h.ejected, h.probation, h.good = false, true, 0
+}
+
 // failed counts a failure of the host. Its load stays on the books for the mean run time of the pool, so that a
 // host that fails quickly does not look idle.
 func (t *Table) failed(p *pool, h *host, c Candidate, now time.Time) {
@@ -122,14 +130,24 @@
 	}
 }
 
-// suspect notes a failed task of a team, and says whether the team's tasks fail on several hosts.
-func (p *pool) suspect(team, hostID string) bool {
+// suspect notes a failed task of a team, and says whether the team's tasks fail on several hosts. Once they do,
+// the failures of these hosts that were counted before are taken back.
+func (t *Table) suspect(p *pool, team, hostID string) bool {
 	fails := p.teamFails[team]
-	if !slices.Contains(fails, hostID) && len(fails) < suspectHosts {
-		fails = append(fails, hostID)
-		p.teamFails[team] = fails
+	if slices.Contains(fails, hostID) || len(fails) >= suspectHosts {
+		return len(fails) >= suspectHosts
+	}
+	fails = append(fails, hostID)
+	p.teamFails[team] = fails
+	if len(fails) < suspectHosts {
+		return false
+	}
+	for _, id := range fails {
+		if h := t.hosts[id]; h != nil {
+			h.health.absolve(h.health.streak)
+		}
 	}
-	return len(fails) >= suspectHosts
+	return true
 }
 
 // mayEject is the number of hosts of the pool that may be ejected at once.
@@ -160,7 +178,7 @@
 		}
 		n++
 		if n > p.mayEject() {
-			h.health.ejected, h.health.probation, h.health.good = false, true, 0
+			h.health.endEjection()
 		}
 	}
 }
@@ -189,7 +207,7 @@
 		if now.Before(h.until) {
 			return false
 		}
-		h.ejected, h.probation, h.good = false, true, 0
+		h.endEjection()
 	}
 	return !h.probation || attempts == 0
 }
--- /dev/null
+++ b/routing/property_test.go
@@ -0,0 +1,141 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against ejecting more than a third of a pool or its budget, and against picks of hosts that are leaving,
+// in a zone taken out, ejected, or on probation with a task already.
+func TestPickRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 12).Draw(t, "hosts")
+		table, r, b := newTable(hosts)
+		b.Pools[0].Budget.MaxUnavailable = rapid.IntRange(0, 3).Draw(t, "budget")
+		table.Update(r, b, start)
+		now, leaving, running := start, map[string]time.Time{}, []Candidate{}
+		hostIDs := rapid.IntRange(0, hosts-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				c, err := table.Pick("p0", oneSlot, nil, now)
+				if err != nil {
+					return
+				}
+				running = append(running, c)
+				h := table.hosts[c.Host]
+				if now.Before(leaving[c.Host].Add(leavingTTL)) || table.zones[c.Zone].out ||
+					h.health.ejected || h.health.probation && h.attempts > 1 || !fits(h.own, h.capacity) {
+					t.Fatalf("picked %+v", h)
+				}
+			},
+			"done": func(t *rapid.T) {
+				if len(running) == 0 {
+					return
+				}
+				c := running[0]
+				running = running[1:]
+				o := Outcome(rapid.IntRange(int(Neutral), int(TaskFailed)).Draw(t, "outcome"))
+				table.Done(c, Report{Outcome: o, Team: fmt.Sprint(len(running)), Latency: time.Millisecond}, now)
+				if o == Leaving {
+					leaving[c.Host] = now
+				}
+			},
+			"fail": func(t *rapid.T) {
+				id := fmt.Sprintf("h%03d", hostIDs.Draw(t, "host"))
+				for range ejectAfter {
+					table.Done(Candidate{Host: id, Pool: "p0"}, Report{Outcome: Unreachable}, now)
+				}
+			},
+			"zone": func(t *rapid.T) {
+				z := &b.Zones[rapid.IntRange(0, 2).Draw(t, "zone")]
+				z.OutOfService = !z.OutOfService
+				table.Update(r, b, now)
+			},
+			"leave": func(t *rapid.T) {
+				id := fmt.Sprintf("h%03d", hostIDs.Draw(t, "host"))
+				table.NoteLeaving(id, now)
+				leaving[id] = now
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				p := table.pools["p0"]
+				n, most := p.ejected(now), hosts/3
+				if p.budget > 0 {
+					most = min(most, p.budget)
+				}
+				if n > most {
+					t.Fatalf("%d of %d hosts ejected, budget %d", n, hosts, p.budget)
+				}
+			},
+		})
+	})
+}
+
+// Guards against a host that fails at once drawing more work than the other hosts of its zone because it looks idle.
+// Every fifth task succeeds there, so that it is not ejected.
+func TestFastFailureDrawsNoMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const tasks, run = 1500, 100 * time.Millisecond
+		table, _, _ := newTable(9)
+		interval := time.Duration(rapid.IntRange(2, 10).Draw(t, "interval")) * time.Millisecond
+		now, picks, running := start, map[string]int{}, []Candidate{}
+		for i := range tasks {
+			now = now.Add(interval)
+			for len(running) > 0 && !now.Before(running[0].pickedAt.Add(run)) {
+				table.Done(running[0], Report{Outcome: Succeeded, Run: run}, now)
+				running = running[1:]
+			}
+			c, err := table.Pick("p0", oneSlot, nil, now)
+			if err != nil {
+				continue
+			}
+			picks[c.Host]++
+			if c.Host == "h000" && picks[c.Host]%5 != 0 {
+				table.Done(c, Report{Outcome: TaskFailed, Team: fmt.Sprint(i)}, now)
+				continue
+			}
+			running = append(running, c)
+		}
+		if most := (picks["h003"] + picks["h006"]) * 6 / 10; picks["h000"] > most {
+			t.Fatalf("%v picks", picks)
+		}
+	})
+}
+
+// Guards against a job that fails everywhere ejecting healthy hosts.
+func TestFailingTeamEjectsNothing(t *testing.T) {
+	table, _, _ := newTable(9)
+	for range 500 {
+		c, err := table.Pick("p0", oneSlot, nil, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table.Done(c, Report{Outcome: TaskFailed, Team: "bad"}, start.Add(time.Second))
+	}
+	if n := table.pools["p0"].ejected(start); n > 0 {
+		t.Fatalf("%d hosts ejected", n)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	r, bundle := fleet(81, 510)
+	table := New("z0", 1)
+	table.Update(r, bundle, start)
+	pools := make([]string, 81)
+	for i := range pools {
+		pools[i] = fmt.Sprint("p", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c, err := table.Pick(pools[i%81], oneSlot, nil, start)
+		if err != nil {
+			b.Fatal(err)
+		}
+		table.Done(c, Report{Outcome: Succeeded, Latency: time.Millisecond, Run: time.Second}, start)
+	}
+}
