--- a/control/settle.go
+++ b/control/settle.go
@@ -56,11 +56,11 @@
 // zoneSettling is the state of one zone of a target.
 type zoneSettling struct {
 	zone      string
-	members   []Member   // roster and departed
+	members   []Member     // roster and departed
 	rosters   []PastRoster // the roster, with Until 0, and the past ones
-	hasEmpty  bool       // one of the rosters is empty
-	waiting   []string   // members that may hold a lower revision
-	undrained []string   // members that may have a start left from a lower revision
+	hasEmpty  bool         // one of the rosters is empty
+	waiting   []string     // members that may hold a lower revision
+	undrained []string     // members that may have a start left from a lower revision
 	blockedAt time.Time
 }
 
