Renew task leases only with permission; share an upstream's connections

Cause: a host that is cut off from store and peers but not from upstreams went on renewing its tasks after it was evicted and its grant had returned, so the team could exceed its cap. And each entry host could open 64 connections to an upstream that accepts 64 in all. Ruled out: stopping the tasks at once when permission is lost; a short loss would end work for nothing. Change: dispatch.Config.MayRenew, asked right before each renewal; 10 connections to an upstream, 2 of them idle.

--- a/daemon/tasks.go
+++ b/daemon/tasks.go
@@ -212,6 +212,7 @@
 	return dispatch.NewRunner(dispatch.Config{
 		Router: inc.d.table, Budget: inc.d.budget, Gate: g, Client: inc.d.upstreamClient,
 		Owner: inc.self.ID, OnLeaving: inc.tellLeaving,
+		MayRenew: func() bool { return inc.loop.core.Permission(time.Now()).OK },
 	})
 }
 
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -28,6 +28,9 @@
 	Client func(host, address string) upstream.Client
 	// Owner is the incarnation ID of this entry host.
 	Owner string
+	// MayRenew is asked right before each renewal of a task's lease. A host without permission must not renew: once
+	// it was evicted, its grant returns to the fleet when the leases of its tasks have lapsed. Nil is always yes.
+	MayRenew func() bool
 	// OnLeaving is told of direct refusals by leaving upstreams, for notices to peers. It may be nil and must not
 	// wait.
 	OnLeaving func(host string)
@@ -194,6 +197,10 @@
 	case CallResult:
 		d.Attempt, d.Err = client.Result(ctx, c.AttemptID, c.Wait)
 	case CallRenew:
+		if r.cfg.MayRenew != nil && !r.cfg.MayRenew() {
+			d.Err = upstream.ErrUnreachable
+			return d
+		}
 		d.Unknown, d.Err = client.Renew(ctx, []string{c.AttemptID})
 	case CallRelease:
 		d.Err = client.Release(ctx, c.AttemptID)
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -14,14 +14,18 @@
 // CallTimeout bounds every call in addition to its context. Result may take this long on top of its wait.
 const CallTimeout = 2 * time.Second
 
-// maxConnections is the number of connections to one upstream; an upstream accepts 64.
-const maxConnections = 64
+// An upstream accepts 64 connections, which six or seven entry hosts share. Ten each cover its eight slots, on which
+// as many calls wait for results, and two more calls.
+const (
+	maxConnections     = 10
+	maxIdleConnections = 2
+)
 
 // NewTransport returns a transport for clients of any number of upstreams.
 func NewTransport() *http.Transport {
 	return &http.Transport{
 		MaxConnsPerHost:     maxConnections,
-		MaxIdleConnsPerHost: maxConnections,
+		MaxIdleConnsPerHost: maxIdleConnections,
 		MaxIdleConns:        1024,
 		IdleConnTimeout:     30 * time.Second,
 	}
