Stop running work above a lowered cap as the bundle says

Cause: running_work of a team was accepted in a bundle and had no effect. Ruled out: stopping at adoption; the hosts' parts of the new cap are known only when the ledger has changed. Change: each second a host compares its use with its part of the cap and stops the youngest tasks above it; a test over processes for the same field of a zone. Conclusion: the zone's case is tested (idempotent work is run elsewhere, other work answers 4005); the cap's case is not covered by a test of its own.

--- a/cmd/citrongauge/process_test.go
+++ b/cmd/citrongauge/process_test.go
@@ -336,3 +336,32 @@
 	is.Equal(len(counts), 1)
 	is.True(counts[result.OK] > 0)
 }
+
+// Guards against a bundle whose running_work is ignored: work on a zone that is taken out is stopped, idempotent
+// requests run elsewhere and others learn why they were stopped.
+func TestRunningWorkIsStoppedWithItsZone(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, 1, 1, func(b *bundle.Bundle) { b.Zones[0].OutOfService = true })
+	answers := make(chan api.Answer, 2)
+	for _, idempotent := range []bool{true, false} {
+		go func() {
+			a, err := f.post(f.hosts[1], f.teamKeys["red"], "work", api.Submission{RunMS: 4000, Idempotent: idempotent, DeadlineMS: 30000}, "")
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- a
+		}()
+	}
+	f.eventually("both run in zone b", 5*time.Second, func() bool { return len(f.upstreams["b0"].Executions()) == 2 })
+	f.rollOut(func(b *bundle.Bundle) {
+		b.Zones[0].OutOfService, b.Zones[0].RampMS = false, 100
+		b.Zones[1].OutOfService, b.Zones[1].RunningWork = true, bundle.WorkStop
+	})
+	codes := make(map[result.Code]string)
+	for range 2 {
+		a := <-answers
+		codes[a.Code] = a.Upstream
+	}
+	is.Equal(codes[result.OK], "a0")
+	is.Equal(codes[result.StoppedByDrain], "b0")
+}
--- a/daemon/enforce.go
+++ b/daemon/enforce.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sort"
 	"sync/atomic"
+	"time"
 
 	"citrongauge.example/citrongauge/bundle"
 	"citrongauge.example/citrongauge/control"
@@ -11,6 +13,9 @@
 // runningTask is a dispatched task that a change of the bundle may have to stop.
 type runningTask struct {
 	keyHash string
+	team    string
+	slots   int
+	started time.Time
 	cancel  context.CancelFunc
 	// host returns the upstream on which the task was last permitted to start.
 	host func() string
@@ -23,6 +28,7 @@
 	notStopped int32 = iota
 	stoppedByKey
 	stoppedByZone
+	stoppedByCap
 )
 
 // track registers a dispatched task until the returned function is called.
@@ -65,6 +71,51 @@
 	return notStopped
 }
 
+// capInterval is the interval at which running work is compared with lowered caps.
+const capInterval = time.Second
+
+// enforceCaps stops the youngest tasks of teams that run more than this host's part of a lowered cap, if the bundle
+// asks for that. It runs on the control goroutine.
+func (inc *incarnation) enforceCaps() {
+	s := inc.loop.state.Load()
+	if s == nil || s.index == nil {
+		return
+	}
+	for _, team := range s.index.Bundle.Teams {
+		if !stops(team.RunningWork) {
+			continue
+		}
+		if excess := inc.account.InUse(team.Name) - inc.account.Limit(team.Name); excess > 0 {
+			inc.stopYoungest(team.Name, excess)
+		}
+	}
+}
+
+func (inc *incarnation) stopYoungest(team string, excess int) {
+	inc.runningMu.Lock()
+	defer inc.runningMu.Unlock()
+	var tasks []*runningTask
+	for t := range inc.running {
+		if t.team != team {
+			continue
+		}
+		if t.stopped.Load() != notStopped {
+			excess -= t.slots
+			continue
+		}
+		tasks = append(tasks, t)
+	}
+	sort.Slice(tasks, func(i, j int) bool { return tasks[i].started.After(tasks[j].started) })
+	for _, t := range tasks {
+		if excess <= 0 {
+			return
+		}
+		excess -= t.slots
+		t.stopped.Store(stoppedByCap)
+		t.cancel()
+	}
+}
+
 func stops(w bundle.RunningWork) bool {
 	return w == bundle.WorkStop || w == bundle.WorkCheckpoint
 }
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -49,6 +49,7 @@
 	running   map[*runningTask]struct{}
 	nextAt    time.Time // next grant tick, on the control goroutine
 	tellAt    time.Time // next report of load, on the control goroutine
+	capAt     time.Time // next comparison with lowered caps, on the control goroutine
 	evicted   sync.Once
 }
 
@@ -138,6 +139,10 @@
 		inc.stepGrants(now, grant.Tick{FreshAt: inc.loop.core.FreshAt()})
 	}
 	inc.rollouts.observe(now, inc.loop.core)
+	if now.After(inc.capAt) {
+		inc.capAt = now.Add(capInterval)
+		inc.enforceCaps()
+	}
 	if now.After(inc.tellAt) {
 		inc.tellAt = now.Add(loadInterval)
 		inc.tellLoads(now)
--- a/daemon/tasks.go
+++ b/daemon/tasks.go
@@ -130,16 +130,16 @@
 }
 
 // mayRequeue states whether a dispatched request goes back to its queue: no upstream had room, which proves that it
-// was not run; or it is idempotent and was stopped to give lent capacity back or because its availability zone was
-// taken out.
+// was not run; or it is idempotent and was stopped to give lent capacity back, because its availability zone was taken
+// out or because the team's cap was lowered.
 func mayRequeue(t *admission.Ticket, r *request, code result.Code, stopped int32) bool {
 	switch code {
 	case result.NoUpstream, result.RetriesExhausted:
 		return true
 	case result.CancelledBeforeRun:
-		return t.Preempted() || stopped == stoppedByZone
+		return t.Preempted() || stopped == stoppedByZone || stopped == stoppedByCap
 	case result.CancelledRunning:
-		return r.submission.Idempotent && (t.Preempted() || stopped == stoppedByZone)
+		return r.submission.Idempotent && (t.Preempted() || stopped == stoppedByZone || stopped == stoppedByCap)
 	}
 	return false
 }
@@ -152,6 +152,8 @@
 	switch stopped {
 	case stoppedByKey:
 		a.Detail = "the key was withdrawn"
+	case stoppedByCap:
+		a.Detail = "the team's cap was lowered"
 	case stoppedByZone:
 		a.Code = result.StoppedByDrain
 		a.Detail = "availability zone " + a.Zone + " was taken out of service"
@@ -185,7 +187,9 @@
 	go cancelOnPreempt(ctx, cancel, t)
 	g := &gate{inc: inc, keyHash: r.keyHash, acquired: true}
 	defer g.returnUnused(r.team.Name, r.submission.Slots)
-	running := &runningTask{keyHash: r.keyHash, cancel: cancel, host: g.host}
+	running := &runningTask{
+		keyHash: r.keyHash, team: r.team.Name, slots: r.submission.Slots, started: time.Now(), cancel: cancel, host: g.host,
+	}
 	defer inc.track(running)()
 	task := &dispatch.Task{
 		Idempotent: r.submission.Idempotent, Team: r.team.Name, Queue: r.queue.Name, Pool: r.queue.Pool,
