dispatch: hold slots for a renewal that is delivered twice

The last renewal was answered, then delivered a second time, and the upstream was lost. The lease end counted unanswered renewals only. It now counts one more lease once a renewal was sent.

The harness is shorter. Refusal of a repeated Start as proof is caught by TestRepeatedStartRefused only.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -43,12 +43,16 @@
 
 // leaseEnd is the latest time at which the upstream can still run the attempt if no further renewal is sent. A
 // renewal whose answer was lost may take effect at any time while the lease holds, and each may do so once, so each
-// adds a whole lease.
+// adds a whole lease. The last answered renewal may be delivered a second time, which adds another.
 func (a *attempt) leaseEnd() time.Time {
 	if !a.running {
 		return a.lapseBy.Add(leaseWait)
 	}
-	return a.leaseAt.Add(time.Duration(1+a.renewalsLost) * leaseWait)
+	leases := 1 + a.renewalsLost
+	if a.renewSent.After(a.startedAt) {
+		leases++
+	}
+	return a.leaseAt.Add(time.Duration(leases) * leaseWait)
 }
 
 // lostAt is the time after which an upstream that does not answer is given up.
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -41,5 +41,5 @@
 // The slots of an attempt are given back at once when its end, or that it was never started, is proved. Otherwise
 // they are held until the reservation must have lapsed, if no Start was sent, or until the lease must have lapsed. A
 // renewal without an answer may take effect at any time while the lease holds, so each one adds a whole lease to
-// that time.
+// that time, and so does a second delivery of the last answered one.
 package dispatch
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -11,31 +11,26 @@
 // fakeUpstream has the protocol's semantics: reservations and leases lapse on its own clock, a request ID starts
 // once, and a restart forgets everything.
 type fakeUpstream struct {
-	w          *world
-	rate       float64 // real time for one second of its clock
-	bootedAt   time.Time
-	boots      int
-	frozen     time.Time
-	leaving    bool
-	failing    bool // fails every task at once
-	forgets    bool // answers "not found" for lapsed reservations
-	runTime    time.Duration
-	attempts   map[string]*fakeAttempt
-	requestIDs map[string]bool // started
+	w                *world
+	rate             float64 // real time for one second of its clock
+	boots            int
+	bootedAt, frozen time.Time // frozen until then
+	leaving, failing bool      // failing: fails every task at once
+	forgets          bool      // answers "not found" for lapsed reservations
+	runTime          time.Duration
+	attempts         map[string]*fakeAttempt
+	requestIDs       map[string]bool // started
 }
 
 type fakeAttempt struct {
-	task      *simTask
-	requestID string
-	state     upstream.State
-	until     time.Time // end of the reservation or of the lease
-	endAt     time.Time
+	task         *simTask
+	state        upstream.State
+	until, endAt time.Time // until: end of the reservation or of the lease
 }
 
 func newFakeUpstream(w *world) *fakeUpstream {
-	u := &fakeUpstream{w: w, rate: 0.9524 + w.rng.Float64()*0.0975, forgets: w.chance(0.3), runTime: time.Second}
-	u.kill(0)
-	u.bootedAt = w.now.Add(-w.upTo(time.Hour))
+	u := &fakeUpstream{w: w, rate: 0.9524 + w.rng.Float64()*0.0975, forgets: w.rng.IntN(3) == 0, runTime: time.Second}
+	u.kill(-w.upTo(time.Hour))
 	return u
 }
 
@@ -73,85 +68,54 @@
 	boots := u.boots
 	var arrive func()
 	arrive = func() {
+		a := u.attempts[c.AttemptID]
 		switch {
 		case u.boots != boots || u.w.now.Before(u.bootedAt):
 		case u.w.now.Before(u.frozen):
 			u.w.at(u.frozen, arrive)
+		case c.Wait > 0 && a != nil && u.settle(a).state == upstream.StateRunning:
+			wait := min(c.Wait, a.endAt.Sub(u.w.now), a.until.Sub(u.w.now))
+			c.Wait = 0
+			u.w.after(max(0, wait), arrive)
 		default:
-			u.take(t, c, answer)
+			answer(u.handle(t, c, a))
 		}
 	}
 	u.w.after(delay, arrive)
 }
 
-func (u *fakeUpstream) take(t *simTask, c Call, answer func(CallDone)) {
-	if a := u.attempts[c.AttemptID]; c.Kind == CallResult && c.Wait > 0 && a != nil &&
-		u.settle(a).state == upstream.StateRunning {
-		wait := min(c.Wait, max(0, a.endAt.Sub(u.w.now)), max(0, a.until.Sub(u.w.now)))
-		c.Wait = 0
-		u.deliver(t, c, wait, answer)
-		return
-	}
-	answer(u.handle(t, c))
-}
-
-func (u *fakeUpstream) handle(t *simTask, c Call) CallDone {
+func (u *fakeUpstream) handle(t *simTask, c Call, a *fakeAttempt) CallDone {
 	d := CallDone{ID: c.ID}
-	a := u.attempts[c.AttemptID]
-	if a != nil {
-		u.settle(a)
-	}
+	running := a != nil && u.settle(a).state == upstream.StateRunning
 	switch {
 	case c.Kind == CallStatus:
 		d.Status.Uptime = time.Duration(float64(u.w.now.Sub(u.bootedAt)) / u.rate)
-		return d
 	case c.Kind == CallReserve:
 		if d.Err = u.reserve(t, c, a); d.Err != nil {
 			u.w.refusals++
 		}
-		return d
-	case a == nil && c.Kind == CallRenew:
+	case c.Kind == CallRenew && running:
+		a.until = u.clock(upstream.TaskLeaseTTL)
+	case c.Kind == CallRenew:
 		d.Unknown = []string{c.AttemptID}
-		return d
-	case a == nil:
+	case a == nil, c.Kind == CallResult && a.state == upstream.StateLapsed && u.forgets:
 		d.Err = upstream.ErrAttemptNotFound
-		return d
-	}
-	switch c.Kind {
-	case CallStart:
+	case c.Kind == CallStart:
 		d.Err = u.start(a)
-	case CallRelease:
-		if a.state == upstream.StateReserved {
-			a.state = upstream.StateLapsed
-		}
-	case CallRenew:
-		if a.state == upstream.StateRunning {
-			a.until = u.clock(upstream.TaskLeaseTTL)
-		} else {
-			d.Unknown = []string{c.AttemptID}
-		}
-	case CallStop:
-		if a.state == upstream.StateRunning {
-			a.state = upstream.StateStopped
-		}
-		d.Attempt = a.report(c.AttemptID)
-	case CallResult:
-		d.Attempt = a.report(c.AttemptID)
-		if a.state == upstream.StateLapsed && u.forgets {
-			d.Attempt, d.Err = upstream.Attempt{}, upstream.ErrAttemptNotFound
+	case c.Kind == CallRelease && a.state == upstream.StateReserved:
+		a.state = upstream.StateLapsed
+	case c.Kind == CallStop && running:
+		a.state = upstream.StateStopped
+	}
+	if a != nil && d.Err == nil {
+		d.Attempt = upstream.Attempt{AttemptID: c.AttemptID, State: a.state}
+		if a.state == upstream.StateDone {
+			d.Attempt.Answer = []byte("answer to " + string(a.task.Payload))
 		}
 	}
 	return d
 }
 
-func (a *fakeAttempt) report(id string) upstream.Attempt {
-	r := upstream.Attempt{AttemptID: id, State: a.state}
-	if a.state == upstream.StateDone {
-		r.Answer = []byte("answer to " + string(a.task.Payload))
-	}
-	return r
-}
-
 func (u *fakeUpstream) reserve(t *simTask, c Call, a *fakeAttempt) error {
 	busy := 0
 	for _, a := range u.attempts {
@@ -171,9 +135,8 @@
 	case busy >= fakeSlots:
 		return upstream.ErrFull
 	}
-	u.attempts[c.AttemptID] = &fakeAttempt{
-		task: t, requestID: t.RequestID, state: upstream.StateReserved, until: u.clock(upstream.ReservationTTL),
-	}
+	until := u.clock(upstream.ReservationTTL)
+	u.attempts[c.AttemptID] = &fakeAttempt{task: t, state: upstream.StateReserved, until: until}
 	return nil
 }
 
@@ -183,11 +146,11 @@
 		return upstream.ErrLapsed
 	case a.state != upstream.StateReserved:
 		return nil // a repeat
-	case a.requestID != "" && u.requestIDs[a.requestID]:
+	case a.task.RequestID != "" && u.requestIDs[a.task.RequestID]:
 		return upstream.ErrDuplicate
 	}
 	w := u.w
-	u.requestIDs[a.requestID] = true
+	u.requestIDs[a.task.RequestID] = true
 	a.state, a.until, a.endAt = upstream.StateRunning, u.clock(upstream.TaskLeaseTTL), w.now.Add(u.runTime)
 	if u.failing {
 		a.endAt = w.now
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -15,21 +15,18 @@
 
 // world runs machines against fake upstreams on one simulated clock.
 type world struct {
-	rng       *rand.Rand
-	now       time.Time
-	queue     []action // in order of time
-	faults    float64  // part of the calls that meet a network fault
-	pauses    float64  // part of the process's steps before which it is paused
-	paused    time.Time
-	ups       map[string]*fakeUpstream
-	tasks     []*simTask
-	budget    routing.RetryBudget
-	cap, held int
-	gateShut  time.Time // Check refuses from then on
-	shutCode  result.Code
-	attempts  int // Reserve calls sent
-	refusals  int // Reserve calls refused for certain
-	violation string
+	rng                *rand.Rand
+	now, paused        time.Time
+	queue              []action // in order of time
+	faults, pauses     float64  // part of the calls that meet a fault, of the process's steps that meet a pause
+	ups                map[string]*fakeUpstream
+	tasks              []*simTask
+	budget             routing.RetryBudget
+	cap, held          int
+	gateShut           time.Time // Check refuses from then on, with shutCode
+	shutCode           result.Code
+	attempts, refusals int // Reserve calls sent, and those refused for certain
+	violation          string
 }
 
 type action struct {
@@ -40,13 +37,10 @@
 // simTask is a task, its machine, and what the checker counts of it.
 type simTask struct {
 	Task
-	n          int
-	m          *Machine
-	ids        int
-	wake       time.Time
-	held       int
-	executions int
-	answer     *Answer
+	m                        *Machine
+	wake                     time.Time
+	n, ids, held, executions int
+	answer                   *Answer
 }
 
 var epoch = time.Unix(1_000_000, 0)
@@ -81,8 +75,6 @@
 
 func (w *world) after(d time.Duration, do func()) { w.at(w.now.Add(d), do) }
 
-func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
-
 func (w *world) upTo(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d))) }
 
 // host runs a step of the process, which may be paused before it.
@@ -91,7 +83,7 @@
 		w.at(w.paused, func() { w.host(do) })
 		return
 	}
-	if w.chance(w.pauses) {
+	if w.rng.Float64() < w.pauses {
 		w.paused = w.now.Add(w.upTo(30 * time.Second))
 		w.at(w.paused, do)
 		return
@@ -117,27 +109,26 @@
 }
 
 func (w *world) checkSlots() {
-	running := make([]int, len(w.tasks))
+	running := map[*simTask]int{}
 	for _, u := range w.ups {
 		for _, a := range u.attempts {
 			if u.settle(a).state == upstream.StateRunning {
-				running[a.task.n]++
+				running[a.task]++
 			}
 		}
 	}
-	for _, t := range w.tasks {
-		if running[t.n] > t.held {
-			w.fail("task %d runs %d times and holds %d slots", t.n, running[t.n], t.held)
+	for t, n := range running {
+		if n > t.held {
+			w.fail("task %d runs %d times and holds %d slots", t.n, n, t.held)
 		}
 	}
 }
 
 // submit begins a task at a time from now, with the given deadline.
-func (w *world) submit(in time.Duration, idempotent bool, deadline time.Duration) *simTask {
+func (w *world) submit(in time.Duration, idempotent bool, deadline time.Duration) {
 	t := &simTask{n: len(w.tasks)}
 	t.Task = Task{
-		Idempotent: idempotent, Pool: "p", Team: fmt.Sprint("team", t.n%3), Size: upstream.Size{Slots: 1},
-		Payload: fmt.Appendf(nil, "payload %d", t.n), Deadline: w.now.Add(in + deadline),
+		Idempotent: idempotent, Payload: fmt.Appendf(nil, "payload %d", t.n), Deadline: w.now.Add(in + deadline),
 	}
 	if !idempotent {
 		t.RequestID = fmt.Sprint("r", t.n)
@@ -146,7 +137,6 @@
 	t.m = NewMachine(&t.Task, newID, w.rng)
 	w.tasks = append(w.tasks, t)
 	w.after(in, func() { w.event(t, Begin{}) })
-	return t
 }
 
 func (w *world) event(t *simTask, ev Event) {
@@ -168,14 +158,19 @@
 			w.event(t, Acquired{ErrNoSlots})
 			return
 		}
-		w.hold(t, 1)
+		w.held++
+		t.held++
 		w.event(t, Acquired{})
 	case FreeSlots:
-		w.after(e.After, func() { w.hold(t, -1) })
+		w.after(e.After, func() { w.held--; t.held-- })
 	case Pick:
 		w.event(t, w.pick(e))
 	case Check:
-		w.event(t, Checked{w.check()})
+		if !w.gateShut.IsZero() && !w.now.Before(w.gateShut) {
+			w.event(t, Checked{result.Errorf(w.shutCode, "")})
+			return
+		}
+		w.event(t, Checked{})
 	case NoteStart:
 		w.budget.NoteStart(w.now)
 	case Call:
@@ -185,15 +180,6 @@
 	}
 }
 
-func (w *world) hold(t *simTask, n int) { w.held += n; t.held += n }
-
-func (w *world) check() error {
-	if w.gateShut.IsZero() || w.now.Before(w.gateShut) {
-		return nil
-	}
-	return result.Errorf(w.shutCode, "")
-}
-
 // call sends a call over a network that may lose, delay, repeat, cross or cut it.
 func (w *world) call(t *simTask, c Call) {
 	if c.Kind == CallReserve {
@@ -202,7 +188,7 @@
 	u := w.ups[c.Candidate.Host]
 	there, back := w.upTo(3*time.Millisecond), w.upTo(3*time.Millisecond)
 	answer := func(d CallDone) { w.after(back, func() { w.event(t, d) }) }
-	if w.chance(w.faults) {
+	if w.rng.Float64() < w.faults {
 		switch w.rng.IntN(7) {
 		case 0: // lost on its way
 			there = -1
@@ -214,12 +200,14 @@
 			back = w.upTo(20 * time.Second)
 		case 4: // sent twice, the first answer or both arrive
 			u.deliver(t, c, w.upTo(5*time.Second), answer)
-		case 5: // the answer of another attempt
-			reply := answer
-			answer = func(d CallDone) { reply(w.cross(c, d)) }
-		case 6: // cut short
-			reply := answer
-			answer = func(d CallDone) { reply(CallDone{ID: d.ID, Err: upstream.ErrIncomplete}) }
+		case 5, 6: // the answer of another attempt, compared by the client or not, or one that was cut short
+			reply, err := answer, []error{nil, upstream.ErrMismatched, upstream.ErrIncomplete}[w.rng.IntN(3)]
+			state := []upstream.State{upstream.StateDone, upstream.StateLapsed, upstream.StateFailed}[w.rng.IntN(3)]
+			if c.Kind != CallResult && c.Kind != CallStop && err == nil {
+				err = upstream.ErrMismatched
+			}
+			other := upstream.Attempt{AttemptID: "other", State: state}
+			answer = func(CallDone) { reply(CallDone{ID: c.ID, Err: err, Attempt: other}) }
 		}
 	}
 	if there >= 0 {
@@ -228,19 +216,6 @@
 	w.after(c.Timeout, func() { w.event(t, CallDone{ID: c.ID, Err: upstream.ErrUnreachable}) })
 }
 
-// cross replaces an answer by that of another attempt, as a client that does not compare would return it.
-func (w *world) cross(c Call, d CallDone) CallDone {
-	other := w.tasks[w.rng.IntN(len(w.tasks))]
-	id := fmt.Sprintf("%d.%d", other.n, other.ids+1)
-	if c.Kind != CallResult && c.Kind != CallStop || id == c.AttemptID {
-		return CallDone{ID: d.ID, Err: upstream.ErrMismatched}
-	}
-	states := []upstream.State{upstream.StateDone, upstream.StateLapsed, upstream.StateFailed, upstream.StateReserved}
-	return CallDone{ID: d.ID, Attempt: upstream.Attempt{
-		AttemptID: id, State: states[w.rng.IntN(len(states))], Answer: []byte("answer to " + string(other.Payload)),
-	}}
-}
-
 // checkAnswers compares each answer with what happened at the upstreams. It is called after run.
 func (w *world) checkAnswers() {
 	for _, t := range w.tasks {
@@ -248,16 +223,15 @@
 			w.fail("task %d has no answer", t.n)
 			return
 		}
-		code := t.answer.Code
-		switch run := result.Lookup(code).Run; {
+		a := t.answer
+		run, ownID := result.Lookup(a.Code).Run, strings.HasPrefix(a.AttemptID, fmt.Sprint(t.n, "."))
+		switch {
 		case run == result.RunNo && t.executions > 0, run == result.RunYes && t.executions == 0:
-			w.fail("task %d was answered %d and was run %d times", t.n, code, t.executions)
-		case code == result.OK && string(t.answer.Payload) != "answer to "+string(t.Payload):
-			w.fail("task %d was answered %q", t.n, t.answer.Payload)
+			w.fail("task %d was answered %d and was run %d times", t.n, a.Code, t.executions)
+		case a.Code == result.OK && (!ownID || string(a.Payload) != "answer to "+string(t.Payload)):
+			w.fail("task %d was answered %q by attempt %s", t.n, a.Payload, a.AttemptID)
 		case t.held != 0:
 			w.fail("task %d holds %d slots after its end", t.n, t.held)
-		case code == result.OK && !strings.HasPrefix(t.answer.AttemptID, fmt.Sprint(t.n, ".")):
-			w.fail("task %d was answered for attempt %s", t.n, t.answer.AttemptID)
 		}
 	}
 }
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"citrongauge.example/citrongauge/result"
+	"citrongauge.example/citrongauge/upstream"
 )
 
 // schedule draws faults of upstreams, cancellations and a withdrawal.
@@ -123,3 +125,54 @@
 		t.Fatal("a task was not answered with its result: ", w.violation)
 	}
 }
+
+// Guards against taking the refusal of a repeated Start as proof: the first may have run before a restart of the
+// upstream. The simulation does not meet this order of events within 15000 runs.
+func TestRepeatedStartRefused(t *testing.T) {
+	now, starts := epoch, 0
+	task := &Task{RequestID: "r", Deadline: now.Add(time.Minute)}
+	m := NewMachine(task, func() string { return "a" }, rand.New(rand.NewPCG(1, 1)))
+	var answer Answer
+	step := func(ev Event) {
+		now = now.Add(time.Second)
+		for _, e := range m.Step(now, ev) {
+			switch e := e.(type) {
+			case Call:
+				if e.Kind == CallStart {
+					starts++
+				}
+			case Finish:
+				answer = e.Answer
+			}
+		}
+	}
+	done := func(err error, state upstream.State, uptime time.Duration) {
+		step(CallDone{m.lastCall, err, upstream.Attempt{AttemptID: "a", State: state}, upstream.Status{Uptime: uptime}, nil})
+	}
+	step(Begin{})
+	step(Acquired{})
+	step(Picked{})
+	step(Checked{})
+	done(nil, "", 0) // Reserve
+	step(Checked{})
+	done(upstream.ErrUnreachable, "", 0)     // Start
+	done(nil, upstream.StateReserved, 0)     // Result
+	step(Checked{})                          // repeats Start
+	done(upstream.ErrAttemptNotFound, "", 0) // Start
+	done(upstream.ErrAttemptNotFound, "", 0) // Result
+	done(nil, "", time.Millisecond)          // Status after a restart
+	if answer.Code != result.StartAnswerLost || starts != 2 {
+		t.Fatalf("answered %+v after %d starts", answer, starts)
+	}
+}
+
+// Guards against slots given back while a task runs under a renewal that was answered and then delivered again.
+func TestLeaseEndAfterRepeatedRenewal(t *testing.T) {
+	a := attempt{}
+	a.noteRunning(epoch)
+	a.renewSent = epoch.Add(renewInterval)
+	a.leaseAt = a.renewSent
+	if repeated := a.leaseAt.Add(2 * leaseWait); a.leaseEnd().Before(repeated) {
+		t.Fatalf("lease end %v, may run until %v", a.leaseEnd(), repeated)
+	}
+}
