cgctl measure: measure share and roll-out time on the decision cores

Section 1.3 of the design names five measures; nothing measured them yet. The experiments drive admission.Scheduler and control.Core with a fake clock and compare them with a baseline and a bound.

A cluster simulator was ruled out by the design: each experiment drives only the core that it measures. The share experiment cannot be repeated exactly, because the scheduler rounds with a hash whose seed differs between processes; the others can, which a test checks.

--- /dev/null
+++ b/cmd/cgctl/measure.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"citrongauge.example/citrongauge/testbed/experiment"
+)
+
+const defaultSeeds = 5
+
+// measureCommand returns the command that repeats the measures of docs/MEASURES.md.
+func measureCommand() *cli.Command {
+	var about, names, deployments []string
+	for _, m := range experiment.Measures() {
+		names = append(names, m.Name)
+		about = append(about, fmt.Sprintf("%-8s  %s", m.Name, m.About))
+	}
+	for _, d := range experiment.Deployments() {
+		deployments = append(deployments, d.Name)
+	}
+	return &cli.Command{
+		Name:        "measure",
+		Usage:       "measure the decision cores with a fake clock, against baselines and bounds",
+		Description: "Measures:\n" + strings.Join(about, "\n"),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "only", Usage: "one of " + strings.Join(names, ", ")},
+			&cli.IntFlag{Name: "seeds", Value: defaultSeeds, Usage: "number of runs, with the seeds 1, 2, 3 and so on"},
+			&cli.StringFlag{Name: "deployment", Value: "all", Usage: strings.Join(deployments, ", ") + " or all"},
+		},
+		Action: action(runMeasure),
+	}
+}
+
+func runMeasure(ctx context.Context, cmd *cli.Command, p *printer) error {
+	options := experiment.Options{Only: cmd.String("only"), Seeds: int(cmd.Int("seeds")), Deployment: cmd.String("deployment")}
+	if options.Deployment == "all" {
+		options.Deployment = ""
+	}
+	if err := options.Check(); err != nil {
+		return usageError{err.Error()}
+	}
+	report, err := experiment.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	p.table(report.Table())
+	return p.object(report)
+}
--- /dev/null
+++ b/testbed/experiment/deployment.go
@@ -0,0 +1,110 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"citrongauge.example/citrongauge/control"
+	"citrongauge.example/citrongauge/upstream"
+)
+
+// Sizes that both deployments of docs/design.md, section 1.1, have in common.
+const (
+	services          = 5
+	hostsPerService   = 10
+	slotsPerHost      = 8
+	cpusPerHost       = 16
+	entryHostsPerZone = 2
+
+	// inZoneDelay is the one-way delay between two machines of a zone.
+	inZoneDelay = 100 * time.Microsecond
+	// storeService is the time that the platform's store needs for one call, without the way there and back.
+	storeService = 2 * time.Millisecond
+)
+
+// Deployment is one of the two deployments that use the system.
+type Deployment struct {
+	Name string
+	// ZoneRTT is the round trip between availability zones, ClientRTT that to callers.
+	ZoneRTT   time.Duration
+	ClientRTT time.Duration
+	MemoryMB  int
+	Zones     []string
+	Teams     []Team
+}
+
+// Team is a team with its share and the part of the load that it asks for when everything is full.
+type Team struct {
+	Name  string
+	Share int // permille
+	// Demand is the team's part of all requests, in permille.
+	Demand int
+	// Size is the real use of a task of one slot.
+	Size upstream.Size
+}
+
+// Karri is the deployment of Karri Signworks Group.
+func Karri() Deployment {
+	return newDeployment("karri", 500*time.Microsecond, 3*time.Millisecond, 64<<10)
+}
+
+// KainLena is the deployment of Kain Lena Linens.
+func KainLena() Deployment {
+	return newDeployment("kainlena", 1500*time.Microsecond, time.Millisecond, 32<<10)
+}
+
+// newDeployment returns a deployment with six teams, three of them large. Team "new" asks for far more than its share;
+// "cutting" needs many processors and "layout" much memory.
+func newDeployment(name string, zoneRTT, clientRTT time.Duration, memoryMB int) Deployment {
+	slot := memoryMB / slotsPerHost
+	return Deployment{
+		Name: name, ZoneRTT: zoneRTT, ClientRTT: clientRTT, MemoryMB: memoryMB,
+		Zones: []string{"a", "b", "c"},
+		Teams: []Team{
+			{Name: "orders", Share: 300, Demand: 200, Size: upstream.Size{Slots: 1, CPUs: 1, MemoryMB: slot / 4}},
+			{Name: "proofs", Share: 250, Demand: 180, Size: upstream.Size{Slots: 1, CPUs: 1, MemoryMB: slot / 4}},
+			{Name: "new", Share: 200, Demand: 350, Size: upstream.Size{Slots: 1, CPUs: 1, MemoryMB: slot / 2}},
+			{Name: "cutting", Share: 100, Demand: 100, Size: upstream.Size{Slots: 1, CPUs: 3, MemoryMB: slot / 4}},
+			{Name: "layout", Share: 100, Demand: 100, Size: upstream.Size{Slots: 1, CPUs: 1, MemoryMB: slot * 3 / 2}},
+			{Name: "labels", Share: 50, Demand: 70, Size: upstream.Size{Slots: 1, CPUs: 1, MemoryMB: slot / 8}},
+		},
+	}
+}
+
+func (d Deployment) weights() map[string]int {
+	weights := make(map[string]int, len(d.Teams))
+	for _, t := range d.Teams {
+		weights[t.Name] = t.Share
+	}
+	return weights
+}
+
+// oneWay is the delay of a message between two zones.
+func (d Deployment) oneWay(from, to string) time.Duration {
+	if from == to {
+		return inZoneDelay
+	}
+	return d.ZoneRTT / 2
+}
+
+// poolSize is the capacity of a pool with n hosts.
+func (d Deployment) poolSize(n int) upstream.Size {
+	return upstream.Size{Slots: n * slotsPerHost, CPUs: n * cpusPerHost, MemoryMB: n * d.MemoryMB}
+}
+
+func serviceName(i int) string { return fmt.Sprint("service-", i+1) }
+
+// members returns the entry hosts in roster order. The first of each zone is its relay.
+func (d Deployment) members() []control.Member {
+	var members []control.Member
+	for i := range entryHostsPerZone {
+		for _, zone := range d.Zones {
+			id := fmt.Sprint(zone, i+1)
+			members = append(members, control.Member{ID: id, Zone: zone, Address: id})
+		}
+	}
+	return members
+}
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
--- /dev/null
+++ b/testbed/experiment/report.go
@@ -0,0 +1,166 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Variants of a row.
+const (
+	Measured = "citrongauge"
+	Baseline = "baseline"
+	Bound    = "bound"
+)
+
+// sample is one figure of one run.
+type sample struct {
+	name    string
+	variant string
+	unit    string
+	value   float64
+	target  target
+}
+
+// target is the limit of a figure, from docs/design.md, section 1.3. The zero value stands for none.
+type target struct {
+	atMost  float64
+	atLeast float64
+}
+
+func (t target) String() string {
+	switch {
+	case t.atMost > 0:
+		return fmt.Sprintf("<= %g", t.atMost)
+	case t.atLeast > 0:
+		return fmt.Sprintf(">= %g", t.atLeast)
+	}
+	return ""
+}
+
+func (t target) verdict(value float64) string {
+	met := t.atMost > 0 && value <= t.atMost || t.atLeast > 0 && value >= t.atLeast
+	switch {
+	case t == target{}:
+		return ""
+	case met:
+		return "met"
+	}
+	return "missed"
+}
+
+// Row is a figure over all seeds.
+type Row struct {
+	Measure    string `json:"measure"`
+	Deployment string `json:"deployment"`
+	Name       string `json:"name"`
+	// Variant is Measured, or begins with Baseline or Bound.
+	Variant string `json:"variant"`
+	Unit    string `json:"unit"`
+	// Median, Min and Max are over the seeds. A run without the figure is left out; Runs counts the others.
+	Median float64 `json:"median"`
+	Min    float64 `json:"min"`
+	Max    float64 `json:"max"`
+	Runs   int     `json:"runs"`
+	Target string  `json:"target,omitempty"`
+	// Verdict compares the median with the target: met, missed or empty.
+	Verdict string `json:"verdict,omitempty"`
+	// Values are the figures by seed.
+	Values []float64 `json:"values"`
+}
+
+// Report is the result of a call of Run.
+type Report struct {
+	Seeds []uint64 `json:"seeds"`
+	Rows  []Row    `json:"rows"`
+}
+
+// rows combines the samples of all seeds in the order of the first run.
+func rows(measure, deployment string, runs [][]sample) []Row {
+	type key struct{ name, variant, unit string }
+	index := make(map[key]int)
+	var result []Row
+	targets := make(map[key]target)
+	for _, run := range runs {
+		for _, s := range run {
+			k := key{s.name, s.variant, s.unit}
+			i, ok := index[k]
+			if !ok {
+				i = len(result)
+				index[k], targets[k] = i, s.target
+				result = append(result, Row{
+					Measure: measure, Deployment: deployment, Name: s.name, Variant: s.variant, Unit: s.unit, Target: s.target.String(),
+				})
+			}
+			if !math.IsNaN(s.value) {
+				result[i].Values = append(result[i].Values, s.value)
+			}
+		}
+	}
+	for i := range result {
+		result[i].summarize(targets[key{result[i].Name, result[i].Variant, result[i].Unit}])
+	}
+	return result
+}
+
+func (r *Row) summarize(t target) {
+	r.Runs = len(r.Values)
+	if r.Runs == 0 {
+		r.Values = []float64{}
+		return
+	}
+	r.Median = median(r.Values)
+	r.Min, r.Max = slices.Min(r.Values), slices.Max(r.Values)
+	r.Verdict = t.verdict(r.Median)
+}
+
+// median returns the middle value, or NaN without values.
+func median(values []float64) float64 { return quantile(values, 0.5) }
+
+// quantile returns the value below which the given part of the values lies, or NaN without values.
+func quantile(values []float64, part float64) float64 {
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	at := part * float64(len(sorted)-1)
+	low := int(at)
+	if low+1 == len(sorted) {
+		return sorted[low]
+	}
+	return sorted[low] + (at-float64(low))*(sorted[low+1]-sorted[low])
+}
+
+// mean returns NaN without values.
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+func largest(values []float64) float64 { return quantile(values, 1) }
+
+// Table returns the rows of the report for a table, with a heading.
+func (r Report) Table() [][]string {
+	table := [][]string{{"MEASURE", "DEPLOYMENT", "FIGURE", "VARIANT", "MEDIAN", "RANGE", "UNIT", "TARGET"}}
+	for _, row := range r.Rows {
+		table = append(table, []string{
+			row.Measure, row.Deployment, row.Name, row.Variant, figure(row.Median),
+			figure(row.Min) + " .. " + figure(row.Max), row.Unit, strings.TrimSpace(row.Target + " " + row.Verdict),
+		})
+	}
+	return table
+}
+
+func figure(v float64) string {
+	switch {
+	case v == 0 || math.Abs(v) >= 100:
+		return fmt.Sprintf("%.0f", v)
+	case math.Abs(v) >= 10:
+		return fmt.Sprintf("%.1f", v)
+	}
+	return fmt.Sprintf("%.2f", v)
+}
--- /dev/null
+++ b/testbed/experiment/run.go
@@ -0,0 +1,101 @@
+package experiment
+
+import (
+	"context"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// parallelRuns bounds the runs at the same time. Each one uses one processor.
+const parallelRuns = 4
+
+// Measure is one of the five measures.
+type Measure struct {
+	Name  string
+	About string
+	run   func(d Deployment, seed uint64) []sample
+}
+
+// Measures returns the measures in the order of docs/design.md, section 1.3.
+func Measures() []Measure {
+	return []Measure{
+		{"share", "how close each team is to its share", measureShare},
+		{"rollout", "roll-out time", measureRollOut},
+	}
+}
+
+// Deployments returns the deployments of docs/design.md, section 1.1.
+func Deployments() []Deployment { return []Deployment{Karri(), KainLena()} }
+
+// Options select what Run measures.
+type Options struct {
+	// Only is the name of a measure, Deployment that of a deployment; empty for all.
+	Only       string
+	Deployment string
+	// Seeds is the number of runs; their seeds are 1, 2, 3 and so on.
+	Seeds int
+}
+
+// selection returns the measures and deployments of the options.
+func (o Options) selection() ([]Measure, []Deployment, error) {
+	measures := slices.DeleteFunc(Measures(), func(m Measure) bool { return o.Only != "" && m.Name != o.Only })
+	deployments := slices.DeleteFunc(Deployments(), func(d Deployment) bool { return o.Deployment != "" && d.Name != o.Deployment })
+	switch {
+	case len(measures) == 0:
+		return nil, nil, errors.Errorf("no measure %q", o.Only)
+	case len(deployments) == 0:
+		return nil, nil, errors.Errorf("no deployment %q", o.Deployment)
+	case o.Seeds < 1:
+		return nil, nil, errors.Errorf("%d seeds", o.Seeds)
+	}
+	return measures, deployments, nil
+}
+
+// Check reports options that select nothing.
+func (o Options) Check() error {
+	_, _, err := o.selection()
+	return err
+}
+
+// Run measures and returns the figures.
+func Run(ctx context.Context, o Options) (Report, error) {
+	measures, deployments, err := o.selection()
+	if err != nil {
+		return Report{}, err
+	}
+	report := Report{}
+	for i := range o.Seeds {
+		report.Seeds = append(report.Seeds, uint64(i+1))
+	}
+	for _, m := range measures {
+		for _, d := range deployments {
+			runs, err := runSeeds(ctx, m, d, report.Seeds)
+			if err != nil {
+				return Report{}, err
+			}
+			report.Rows = append(report.Rows, rows(m.Name, d.Name, runs)...)
+		}
+	}
+	return report, nil
+}
+
+func runSeeds(ctx context.Context, m Measure, d Deployment, seeds []uint64) ([][]sample, error) {
+	runs := make([][]sample, len(seeds))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelRuns)
+	for i, seed := range seeds {
+		group.Go(func() error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			runs[i] = m.run(d, seed)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, errors.Wrap(err, m.Name)
+	}
+	return runs, nil
+}
