--- a/testbed/experiment/arrivals.go
+++ b/testbed/experiment/arrivals.go
@@ -30,6 +30,8 @@
 	// load returns the load in slots, all teams together, at a time.
 	load    func(at time.Duration) float64
 	meanRun time.Duration
+	// plain makes all tasks take one slot and one processor, as declared.
+	plain bool
 	// slices has, for each team, the parts of its requests that the entry hosts get.
 	slices [][]float64
 }
@@ -67,6 +69,10 @@
 
 func (a *arrivals) newTask(team Team) *task {
 	f := a.fleet
+	if a.plain {
+		size := upstream.Size{Slots: 1, CPUs: 1}
+		return &task{request: f.request(team.Name, a.pool, size), real: size, run: time.Duration(float64(a.meanRun) * a.factor(runSpread))}
+	}
 	slots := 1
 	if f.rng.Float64() < largeTasks {
 		slots = 2
--- a/testbed/experiment/deployment.go
+++ b/testbed/experiment/deployment.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"citrongauge.example/citrongauge/bundle"
 	"citrongauge.example/citrongauge/control"
 	"citrongauge.example/citrongauge/upstream"
 )
@@ -13,8 +14,12 @@
 const (
 	services          = 5
 	hostsPerService   = 10
+	spareHosts        = 4
+	hostsPerRack      = 4
 	slotsPerHost      = 8
 	cpusPerHost       = 16
+	connections       = 64
+	sparePool         = "spare"
 	entryHostsPerZone = 2
 
 	// inZoneDelay is the one-way delay between two machines of a zone.
@@ -88,6 +93,10 @@
 	return d.ZoneRTT / 2
 }
 
+func (d Deployment) hostSize() upstream.Size {
+	return upstream.Size{Slots: slotsPerHost, CPUs: cpusPerHost, MemoryMB: d.MemoryMB}
+}
+
 // poolSize is the capacity of a pool with n hosts.
 func (d Deployment) poolSize(n int) upstream.Size {
 	return upstream.Size{Slots: n * slotsPerHost, CPUs: n * cpusPerHost, MemoryMB: n * d.MemoryMB}
@@ -107,4 +116,43 @@
 	return members
 }
 
+// bundle returns the deployment's first bundle. Hosts of each pool are spread over the zones.
+func (d Deployment) bundle() *bundle.Bundle {
+	b := &bundle.Bundle{Version: 1, Isolation: bundle.Isolation{ServeForMS: bundle.DefaultServeForMS}}
+	for _, z := range d.Zones {
+		b.Zones = append(b.Zones, bundle.Zone{Name: z, RampMS: bundle.DefaultRampMS})
+	}
+	perZone := make(map[string]int)
+	for i := range services {
+		d.addPool(b, perZone, serviceName(i), hostsPerService)
+	}
+	d.addPool(b, perZone, sparePool, spareHosts)
+	b.Pools[services].Spare = true
+	for _, t := range d.Teams {
+		b.Teams = append(b.Teams, bundle.Team{Name: t.Name, Share: t.Share, Cap: services * hostsPerService * slotsPerHost})
+	}
+	return b
+}
+
+func (d Deployment) addPool(b *bundle.Bundle, perZone map[string]int, name string, hosts int) {
+	pool := bundle.Pool{
+		Name: name, DrainMS: bundle.DefaultDrainMS,
+		// A move of all spare hosts at once is within the budget of the spare pool.
+		Budget: bundle.Budget{MaxUnavailable: spareHosts},
+	}
+	for range hosts {
+		i := len(b.Hosts)
+		zone := d.Zones[i%len(d.Zones)]
+		host := bundle.Host{
+			ID: fmt.Sprintf("u-%03d", i), Address: fmt.Sprintf("192.0.2.%d:7500", i+1), Zone: zone,
+			Rack:     fmt.Sprint(zone, perZone[zone]/hostsPerRack),
+			Capacity: d.hostSize(), Connections: connections,
+		}
+		perZone[zone]++
+		b.Hosts = append(b.Hosts, host)
+		pool.Hosts = append(pool.Hosts, host.ID)
+	}
+	b.Pools = append(b.Pools, pool)
+}
+
 func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
--- a/testbed/experiment/report.go
+++ b/testbed/experiment/report.go
@@ -12,6 +12,8 @@
 	Measured = "citrongauge"
 	Baseline = "baseline"
 	Bound    = "bound"
+	// Trial is a setting of a core that is not the one in use.
+	Trial = "trial"
 )
 
 // sample is one figure of one run.
@@ -55,7 +57,7 @@
 	Measure    string `json:"measure"`
 	Deployment string `json:"deployment"`
 	Name       string `json:"name"`
-	// Variant is Measured, or begins with Baseline or Bound.
+	// Variant is Measured, or begins with Baseline, Bound or Trial.
 	Variant string `json:"variant"`
 	Unit    string `json:"unit"`
 	// Median, Min and Max are over the seeds. A run without the figure is left out; Runs counts the others.
--- a/testbed/experiment/run.go
+++ b/testbed/experiment/run.go
@@ -22,7 +22,10 @@
 func Measures() []Measure {
 	return []Measure{
 		{"share", "how close each team is to its share", measureShare},
+		{"zone", "work done while an availability zone leaves and returns", measureZone},
 		{"rollout", "roll-out time", measureRollOut},
+		{"moves", "moves of spare hosts", measureMoves},
+		{"buffer", "capacity held idle", measureBuffer},
 	}
 }
 
