--- /dev/null
+++ b/control/codec_test.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/result"
+)
+
+// targetRecord has the size of section 1.6: 28 hosts in 7 zones, 510 assignments.
+func targetRecord() Record {
+	r := Record{Revision: 7, BundleVersion: 3, AcceptedVersion: 2, PoolSeq: 9, WriterNonce: "n"}
+	for i := range 28 {
+		zone := fmt.Sprint("zone-", i%7)
+		r.Roster = append(r.Roster, Member{ID: fmt.Sprintf("host-%02d-0123456789ab", i), Zone: zone, Address: "10.0.0.1:7000"})
+	}
+	for i := range 510 {
+		r.Assignments = append(r.Assignments, Assignment{Host: fmt.Sprint("upstream-", i), Pool: fmt.Sprint("pool-", i%81), Epoch: 5,
+			State: InService, SinceUnixMS: 1.7e12, MaintainedUnixMS: 1.7e12})
+	}
+	return r
+}
+
+// TestRefusedEncodings guards against records that are ambiguous or too large being taken over.
+func TestRefusedEncodings(t *testing.T) {
+	is := is.New(t)
+	data, err := EncodeRecord(targetRecord())
+	is.NoErr(err)
+	decoded, err := DecodeRecord(data)
+	is.NoErr(err)
+	is.Equal(decoded, targetRecord())
+	twice := targetRecord()
+	twice.Assignments = append(twice.Assignments, twice.Assignments[0])
+	_, err = EncodeRecord(twice)
+	is.Equal(asResult(err, 0).Code, result.PeerProtocol)
+	for name, refused := range map[string][]byte{
+		"duplicate key":   {0xa2, 0x01, 0x01, 0x01, 0x02},
+		"unknown field":   {0xa1, 0x18, 0x63, 0x01},
+		"nesting":         {0xa1, 0x06, 0x81, 0x81, 0x81, 0x81, 0x81, 0x81, 0x01},
+		"array length":    {0xa1, 0x06, 0x9a, 0x7f, 0xff, 0xff, 0xff},
+		"size":            make([]byte, MaxRecordBytes+1),
+		"cut off":         data[:len(data)-1],
+		"extraneous data": append(data, 0),
+	} {
+		_, err := DecodeRecord(refused)
+		if err == nil || asResult(err, 0).Code != result.PeerProtocol {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	record, _ := EncodeRecord(Record{Revision: 1, Roster: []Member{{ID: "a", Zone: "z"}}})
+	heartbeat, _ := EncodeHeartbeat(Heartbeat{Seq: 1, Revision: 2, ZoneAges: []Age{1, 2}, Held: 3})
+	f.Add(record)
+	f.Add(heartbeat)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := DecodeRecord(data); err == nil {
+			if _, err := EncodeRecord(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		hb, err := DecodeHeartbeat(data)
+		if err != nil {
+			return
+		}
+		c := targetCore(t)
+		c.Step(time.Unix(1e9, 0), HeartbeatReceived{From: c.rec.Roster[1], Heartbeat: hb})
+	})
+}
+
+// targetCore is the relay of its zone at the target size.
+func targetCore(t testing.TB) *Core {
+	record := targetRecord()
+	c := New(Options{Self: record.Roster[0], Nonce: func() string { return "n" },
+		VerifyBundle: func(uint64, [32]byte, []byte) (BundleInfo, error) { return BundleInfo{}, nil }})
+	c.Step(time.Unix(1e9, 0), RecordPushed{Record: record})
+	if c.rec == nil {
+		t.Fatal("record refused")
+	}
+	return c
+}
+
+func BenchmarkTick(b *testing.B) {
+	c, now := targetCore(b), time.Unix(1e9, 0)
+	for b.Loop() {
+		now = now.Add(TickInterval)
+		c.Step(now, Tick{})
+	}
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	c, now := targetCore(b), time.Unix(1e9, 0)
+	hb := Heartbeat{Revision: 7, Fresh: 100, ZoneAges: make([]Age, 7), Held: 15, Drained: 15, Heard: 15, Flags: FlagRelay}
+	for b.Loop() {
+		hb.Seq++
+		now = now.Add(time.Millisecond)
+		from := c.rec.Roster[1+hb.Seq%27]
+		hb.Echo = c.peers[from.ID].seq
+		c.Step(now, HeartbeatReceived{From: from, Heartbeat: hb})
+	}
+}
+
+func BenchmarkDecodeRecord(b *testing.B) {
+	data, _ := EncodeRecord(targetRecord())
+	for b.Loop() {
+		if _, err := DecodeRecord(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/control/event.go
+++ b/control/event.go
@@ -77,7 +77,8 @@
 type Leave struct{}
 
 // StartsEnded reports that every start whose permission check was made under a revision below Revision has been
-// answered or has lapsed. Without it the core assumes this after ReservationTTL.
+// answered or has lapsed. It must be decided after the step that adopted Revision has returned, because permission
+// under the previous revision can be read until then. Without it the core assumes this after ReservationTTL.
 type StartsEnded struct{ Revision uint64 }
 
 // RollOut asks for a new bundle version. The bundle must already be in the store. WriteResult follows.
--- a/control/writer.go
+++ b/control/writer.go
@@ -36,7 +36,8 @@
 	ids    []uint64 // a repeat of the same record has another ID
 	base   uint64   // store revision
 	record Record
-	sent   time.Time
+	// sent is when the record was last sent, firstSent when it was first sent. Either copy may be applied.
+	sent, firstSent time.Time
 	// unresolved: the outcome can only be learned from the record itself.
 	unresolved bool
 	// doubtAt is when it became unresolved. Only a later read resolves it.
@@ -136,13 +137,17 @@
 	c.start(now, w)
 }
 
-// expireQueue answers writes that were never sent in time. That they are not applied is certain.
+// expireQueue answers writes that were not sent in time. That they are not applied is certain unless they are
+// doubtful.
 func (c *Core) expireQueue(now time.Time) {
 	kept := c.writer.queue[:0]
 	for _, w := range c.writer.queue {
-		if now.Before(w.deadline) {
+		switch {
+		case now.Before(w.deadline):
 			kept = append(kept, w)
-		} else {
+		case w.doubtful:
+			c.report(w, result.Errorf(result.RolloutUnresolved, "an earlier attempt may have been committed"))
+		default:
 			c.report(w, result.Errorf(result.StoreUnavailable, "the record could not be read for %v", WriteTimeout))
 		}
 	}
@@ -195,6 +200,9 @@
 	c.store.nextID++
 	a.ids = append(a.ids, c.store.nextID)
 	a.sent, a.unresolved = now, false
+	if a.firstSent.IsZero() {
+		a.firstSent = now
+	}
 	c.emit(CompareAndSwap{ID: c.store.nextID, Expected: a.base, Record: a.record})
 }
 
@@ -239,7 +247,7 @@
 			return
 		}
 		c.store.revision = storeRevision
-		c.freshAt = latest(c.freshAt, a.sent)
+		c.freshAt = latest(c.freshAt, a.firstSent)
 	}
 	c.writer.announce = c.heldRevision() == a.record.Revision
 	c.report(a.write, nil)
