--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -28,7 +28,7 @@
 	PeerListen string `json:"peer_listen"`
 	// PeerAddress is the IP:port at which other entry hosts reach PeerListen; PeerListen by default.
 	PeerAddress string `json:"peer_address,omitempty"`
-	// Platform is the base URL of the platform's store and host list, with an IP address.
+	// Platform is the IP:port of the platform's store and host list.
 	Platform string `json:"platform"`
 	// Seeds are peer addresses that are asked for the control record when the store is down.
 	Seeds []string `json:"seeds,omitempty"`
@@ -120,7 +120,7 @@
 	if s.Zone == "" {
 		return errors.New("zone: missing")
 	}
-	addresses := map[string]string{"listen": s.Listen, "peer_listen": s.PeerListen, "peer_address": s.PeerAddress}
+	addresses := map[string]string{"listen": s.Listen, "peer_listen": s.PeerListen, "peer_address": s.PeerAddress, "platform": s.Platform}
 	for field, address := range addresses {
 		if err := checkAddress(address); err != nil {
 			return errors.Wrap(err, field)
@@ -131,9 +131,6 @@
 			return errors.Wrap(err, "seeds")
 		}
 	}
-	if s.Platform == "" {
-		return errors.New("platform: missing")
-	}
 	if s.ShutdownMS < 0 {
 		return errors.New("shutdown_ms: negative")
 	}
