control: forget the isolation times of replaced bundles at acceptance

Cause: MaxServeForMS only rose, so that one bundle with a long serve_for would have lengthened the wait of all later roll-outs for ever. Found in review; the new check in TestHealthyRollOut failed before.

Change: settling the bundle version in force sets MaxServeForMS to that bundle's time.

--- a/control/core_test.go
+++ b/control/core_test.go
@@ -43,7 +43,7 @@
 func TestHealthyRollOut(t *testing.T) {
 	is := is.New(t)
 	s := newSim(1)
-	s.start(10*time.Minute, "abc", 3)
+	s.start(20*time.Minute, "abc", 3)
 	for i := range 5 {
 		id := s.rollOut(s.hosts[i], 10*time.Minute)
 		s.runFor(3 * time.Second)
@@ -61,6 +61,7 @@
 		is.Equal(h.lost, 0)
 	}
 	is.Equal(s.evictions, 0)
+	is.Equal(s.current.MaxServeForMS, int64(10*60*1000)) // the longer time of the first bundle counts no more
 	s.requireClean(t)
 }
 
--- a/control/membership.go
+++ b/control/membership.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	if c.settledNow(now) {
-		return c.target.settle
+		return func(r *Record) error { return c.target.settle(r, c.info.ServeFor) }
 	}
 	if dead := c.evictable(now); len(dead) > 0 {
 		return func(r *Record) error { return remove(r, dead, true) }
--- a/control/settle.go
+++ b/control/settle.go
@@ -191,13 +191,17 @@
 	return t != nil && !t.settledAt.IsZero() && now.Sub(t.settledAt) >= time.Duration(c.rank(now))*rankDelay
 }
 
-// settle records that the target is settled.
-func (t *settleTarget) settle(r *Record) error {
+// settle records that the target is settled. serveFor is that of the bundle in force; if this is the accepted one,
+// the longer times of earlier bundles do not count any more.
+func (t *settleTarget) settle(r *Record, serveFor time.Duration) error {
 	if r.SettledRevision >= t.rec.Revision {
 		return ErrNoChange
 	}
 	r.SettledRevision = t.rec.Revision
 	r.AcceptedVersion = max(r.AcceptedVersion, t.rec.BundleVersion)
+	if r.AcceptedVersion == r.BundleVersion {
+		r.MaxServeForMS = serveFor.Milliseconds()
+	}
 	r.Departed = slices.DeleteFunc(r.Departed, func(m Member) bool { return containsMember(t.rec.Departed, m.ID) })
 	r.PastRosters = slices.DeleteFunc(r.PastRosters, func(p PastRoster) bool { return p.Until <= t.rec.Revision })
 	return nil
