--- a/control/membership.go
+++ b/control/membership.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	if settled := c.settledNow(now); settled != nil {
-		return settled.settle
+		return func(r *Record) error { return settled.settle(r, c.info.ServeFor) }
 	}
 	if dead := c.evictable(now); len(dead) > 0 {
 		return func(r *Record) error { return remove(r, dead, true) }
