--- a/grant/account_test.go
+++ b/grant/account_test.go
@@ -61,3 +61,19 @@
 	_, err = Decode([]byte("no ledger"))
 	is.True(err != nil)
 }
+
+// Guards against a host that takes an old view for the truth after a cap was raised, used by others and lowered.
+func TestPartCountsHeldCaps(t *testing.T) {
+	is := is.New(t)
+	view := Ledger{Cap: 10, Version: 1, Entries: map[string]int{"h": 6}}
+	a := newTeam("a", "h")
+	a.setCap(10, 1, false, 0)
+	a.see(view, 1, &operation{id: 1}, 1)
+	a.setCap(20, 2, false, 1)
+	is.Equal(a.part(), 6)
+	a.setCap(10, 3, false, 1)
+	is.Equal(a.part(), 0) // the others may hold 14
+	view.Version = 3
+	a.see(view, 2, &operation{id: 2}, 3)
+	is.Equal(a.part(), 6)
+}
--- a/grant/cap_test.go
+++ b/grant/cap_test.go
@@ -17,7 +17,7 @@
 		slots := rapid.IntRange(1, 3).Draw(rt, "slots")
 		limit := rapid.IntRange(1, 40).Draw(rt, "cap")
 		f := newFleet(seed, hosts, 2, slots, map[string]int{"a": limit})
-		f.latency = 20 * time.Millisecond
+		f.latency = time.Duration(rapid.SampledFrom([]int{20, 200}).Draw(rt, "latency in ms")) * time.Millisecond
 		f.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "loss")
 		longest := rapid.IntRange(100, 40000).Draw(rt, "longest run in ms")
 		f.runTime = func() time.Duration { return f.delay(time.Duration(longest) * time.Millisecond) }
@@ -48,6 +48,7 @@
 		h.frozen = !h.frozen
 	case 4:
 		h.cut = !h.cut
+		h.isolated = h.isolated || h.cut && !h.frozen && h.permitted()
 	case 5:
 		f.setCap("a", rapid.IntRange(0, 40).Draw(rt, "new cap"))
 	case 6:
@@ -93,3 +94,33 @@
 		is.Equal(f.hosts[1].account.InUse("a"), 1) // the slot has returned
 	}
 }
+
+// Guards against starts that rest on an old cap: a host is idle or frozen while the cap is raised and used by
+// another host, and works again when it was lowered, before or after the raised version was accepted.
+func TestSkippedVersion(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(100) {
+		f := newFleet(seed, 2, 2, 1, map[string]int{"a": 10})
+		f.latency = simStep
+		f.runTime = func() time.Duration { return simStep }
+		steps := func(d time.Duration) {
+			for range d / simStep {
+				f.step()
+			}
+		}
+		sleeper, other := f.hosts[0], f.hosts[1]
+		sleeper.queue["a"] = 5
+		steps(time.Second)
+		sleeper.frozen = seed%2 == 0
+		f.runTime = func() time.Duration { return time.Hour }
+		f.setCap("a", 20)
+		other.queue["a"] = 20
+		steps(time.Duration(1000+seed*40) * time.Millisecond)
+		f.setCap("a", 10)
+		steps(2 * simStep)
+		sleeper.queue["a"] = 5
+		sleeper.frozen = false
+		steps(time.Second)
+		is.Equal(f.err, "")
+	}
+}
--- a/grant/fleet_test.go
+++ b/grant/fleet_test.go
@@ -11,7 +11,11 @@
 	"citrongauge.example/citrongauge/upstream"
 )
 
-const simStep = 50 * time.Millisecond
+const (
+	simStep = 50 * time.Millisecond
+	// isolationTime is how long a host that is cut off may go on starting work.
+	isolationTime = 30 * time.Second
+)
 
 // fleet is a model of hosts, store and upstreams with a fake clock. Freezes take effect between the steps of a
 // host, also between a check and the message that rests on it.
@@ -51,13 +55,13 @@
 	m        *Manager
 	account  *Account
 	rec      *control.Record
-	replaced map[uint64]time.Time // when earlier bundle versions were replaced
 	adopted  time.Time
 	freshAt  time.Time
 	lastSeen time.Time
 	dead     bool
 	frozen   bool
-	cut      bool
+	cut      bool // from the store and the peers
+	isolated bool // was cut off since the last contact, and may start work for isolationTime
 	inbox    []delayed
 	queue    map[string]int // waiting tasks
 	peers    time.Time
@@ -68,6 +72,7 @@
 // attempt is one task at an upstream, and what its host knows of it.
 type attempt struct {
 	team      string
+	version   uint64    // of the bundle on which Start rests
 	reserved  time.Time // end of the reservation
 	isRunning bool
 	lease     time.Time
@@ -96,7 +101,7 @@
 
 func (f *fleet) join(zone string) *simHost {
 	f.nextID++
-	h := &simHost{f: f, account: NewAccount(), queue: map[string]int{}, replaced: map[uint64]time.Time{}, lastSeen: f.now}
+	h := &simHost{f: f, account: NewAccount(), queue: map[string]int{}, lastSeen: f.now}
 	h.member = control.Member{ID: fmt.Sprintf("h%d", f.nextID), Zone: zone}
 	h.m = NewManager(h.member.ID, h.account, f.rng.Uint64())
 	f.hosts = append(f.hosts, h)
@@ -171,9 +176,12 @@
 
 // control evicts silent hosts, clears them and accepts bundle versions, with the waits of the design.
 func (f *fleet) control() {
-	wait := control.Stretch(control.AttestTTL + upstream.ReservationTTL)
 	settled := true
 	for _, h := range f.hosts {
+		wait := control.Stretch(control.AttestTTL + upstream.ReservationTTL)
+		if h.isolated {
+			wait += control.Stretch(isolationTime)
+		}
 		silent := f.now.Sub(h.lastSeen)
 		_, isMember := f.record.Member(h.member.ID)
 		if isMember && silent > control.EvictAfter && f.chance(0.05) {
@@ -212,16 +220,13 @@
 
 // sync lets the host adopt the record, as its zone relay would.
 func (h *simHost) sync() {
-	h.freshAt, h.lastSeen = h.f.now, h.f.now
+	h.freshAt, h.lastSeen, h.isolated = h.f.now, h.f.now, false
 	if h.rec != nil && h.rec.Revision == h.f.record.Revision {
 		return
 	}
 	r := h.f.record
 	if h.rec == nil || h.rec.BundleVersion != r.BundleVersion {
 		h.adopted = h.f.now
-		if h.rec != nil {
-			h.replaced[h.rec.BundleVersion] = h.f.now
-		}
 	}
 	h.rec = &r
 	h.m.Step(h.f.now, Config{Record: &r, Caps: h.f.caps[r.BundleVersion]})
@@ -229,7 +234,11 @@
 
 func (h *simHost) permitted() bool {
 	_, ok := h.rec.Member(h.member.ID)
-	return ok && h.f.now.Sub(h.freshAt) < control.PermitTTL
+	ttl := control.PermitTTL
+	if h.isolated {
+		ttl = isolationTime
+	}
+	return ok && h.f.now.Sub(h.freshAt) < ttl
 }
 
 func (h *simHost) run() {
--- a/grant/sim_test.go
+++ b/grant/sim_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"citrongauge.example/citrongauge/control"
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/upstream"
 )
@@ -62,6 +61,7 @@
 			h.account.Release(team, f.slots)
 			return
 		}
+		a.version = h.rec.BundleVersion
 		h.later(0, func() { h.start(a) })
 	})
 }
@@ -77,7 +77,7 @@
 		a.isRunning = true
 		a.lease, a.end = f.now.Add(upstream.TaskLeaseTTL), f.now.Add(f.runTime())
 		f.running = append(f.running, a)
-		f.check(a.team)
+		f.check(a)
 	})
 	if f.chance(f.loss / 2) {
 		a.lost = true
@@ -129,10 +129,11 @@
 	return n
 }
 
-// check is called after each start. The bound is the highest cap of all versions from the lowest one that a host
-// that may start still holds; a Start may rest on a version until its reservation lapses.
-func (f *fleet) check(team string) {
-	lowest := f.record.BundleVersion
+// check is called after each start. The bound is the highest cap of all versions from the lowest one on which the
+// start rests or that a host that may start still holds.
+func (f *fleet) check(started *attempt) {
+	team := started.team
+	lowest := started.version
 	for _, h := range f.hosts {
 		_, isMember := f.record.Member(h.member.ID)
 		_, isDeparted := f.evicted[h.member.ID]
@@ -140,11 +141,6 @@
 			continue
 		}
 		lowest = min(lowest, h.rec.BundleVersion)
-		for version, at := range h.replaced {
-			if f.now.Sub(at) < control.Stretch(upstream.ReservationTTL) {
-				lowest = min(lowest, version)
-			}
-		}
 	}
 	bound := 0
 	for v := lowest; v <= f.record.BundleVersion; v++ {
