control: cut watch answers off in the simulated store as well

Ruled out: a fault in the writer; the stack at the adoption shows the watch. Change: the test's network drops watch answers in flight at a cut, as it does all other answers, and the test steps by 1 us and checks that the host has not seen its commit. The expected result is the same.

--- a/control/core_test.go
+++ b/control/core_test.go
@@ -74,9 +74,10 @@
 	h := s.hosts[1]
 	id := s.rollOut(h, 0)
 	for s.committed[s.versions] == 0 {
-		s.runFor(100 * time.Microsecond)
+		s.runFor(time.Microsecond) // the host is cut off before the answer arrives
 	}
 	s.cutOff(h)
+	is.Equal(h.core.Record().BundleVersion, uint64(1))
 	s.hosts[0].deliver(Propose{ID: "p", Mutate: func(r *Record) error { r.PoolSeq++; return nil }})
 	s.runFor(500 * time.Millisecond)
 	is.Equal(s.results["p"].Err, nil)
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -362,7 +362,12 @@
 		if e, ok := s.watches[h]; ok && s.storeRev > e.Known && !s.storeCut(h.self) {
 			delete(s.watches, h)
 			answer := StoreWatched{ID: e.ID, Snapshot: s.snapshot(e.Known, e.KnownVersion)}
-			s.after(s.latency(), func() { h.deliver(answer) })
+			s.after(s.latency(), func() {
+				if s.storeCut(h.self) {
+					answer = StoreWatched{ID: e.ID, Err: errors.New("timeout")}
+				}
+				h.deliver(answer)
+			})
 		}
 	}
 }
