Read the control record only when it has changed

Cause: each relay reads the record every 400 ms. At the target size of about 40 KB that is 100 KB/s (worked out), far above the 3 KB/s that control may cost. Ruled out: a small pointer key beside the record; its body could be overwritten by the loser of a race. Storing each body under its own key; the store has no way to remove old ones. Reading less often; freshness rests on these reads. Change: an optional conditional read of the store, used where the store has it. Conclusion: an unchanged record costs an empty answer; the test covers changed, unchanged and unexpected revisions.

--- a/daemon/controlloop.go
+++ b/daemon/controlloop.go
@@ -181,7 +181,7 @@
 func (l *controlLoop) read(ctx context.Context, e control.ReadStore) {
 	ctx, cancel := context.WithTimeout(ctx, control.StoreTimeout)
 	defer cancel()
-	entry, err := l.store.Get(ctx, control.StoreKey)
+	entry, err := l.getRecord(ctx, e.Known)
 	if errors.Is(err, platform.ErrNotFound) {
 		l.post(control.StoreRead{ID: e.ID})
 		return
@@ -194,6 +194,16 @@
 	l.post(control.StoreRead{ID: e.ID, Snapshot: snapshot, Err: err})
 }
 
+// getRecord reads the record, without its value if it is at the known store revision and the store can say so.
+func (l *controlLoop) getRecord(ctx context.Context, known uint64) (platform.Entry, error) {
+	store, ok := l.store.(platform.ConditionalStore)
+	if !ok || known == 0 {
+		return l.store.Get(ctx, control.StoreKey)
+	}
+	entry, _, err := store.GetIfChanged(ctx, control.StoreKey, known)
+	return entry, err
+}
+
 func (l *controlLoop) watch(ctx context.Context, e control.WatchStore) {
 	entry, err := l.store.Watch(ctx, control.StoreKey, e.Known)
 	if err != nil {
--- a/testbed/standin/platform.go
+++ b/testbed/standin/platform.go
@@ -174,6 +174,10 @@
 	faults := p.enter(r, func(c *PlatformCounters) { c.Reads++ })
 	entry, _ := p.store.get(query.Get("key"))
 	p.leave(r, faults)
+	if query.Has("unless") && query.Get("unless") == strconv.FormatUint(entry.Revision, 10) {
+		writeCode(w, http.StatusOK, platform.CodeUnchanged)
+		return
+	}
 	writeEntry(w, entry)
 }
 
--- a/testbed/standin/standin_test.go
+++ b/testbed/standin/standin_test.go
@@ -249,3 +249,26 @@
 	is.NoErr(err)
 	is.Equal(attempt.State, upstream.StateCheckpointed)
 }
+
+// Guards against a conditional read that hides a change, or that sends the value each time.
+func TestConditionalRead(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := platform.NewHTTP(serve(t, standin.NewPlatform()), "test")
+	defer store.Close()
+	_, _, err := store.GetIfChanged(ctx, "k", 7)
+	is.True(errors.Is(err, platform.ErrNotFound))
+	first, err := store.CompareAndSwap(ctx, "k", 0, []byte("one"))
+	is.NoErr(err)
+	entry, changed, err := store.GetIfChanged(ctx, "k", first)
+	is.NoErr(err)
+	is.True(!changed && entry.Revision == first && len(entry.Value) == 0)
+	second, err := store.CompareAndSwap(ctx, "k", first, []byte("two"))
+	is.NoErr(err)
+	for _, known := range []uint64{first, second + 1} { // an unexpected revision is a change as well
+		entry, changed, err = store.GetIfChanged(ctx, "k", known)
+		is.NoErr(err)
+		is.True(changed)
+		is.Equal(string(entry.Value), "two")
+	}
+}
