experiment: load the full pool with twice its slots

At 1.5 times, the largest team asked for exactly its share of 30% and had at times nothing waiting, so that the pool was not full in the sense of the target. The load of the bursts stays.

--- a/testbed/experiment/share.go
+++ b/testbed/experiment/share.go
@@ -12,8 +12,9 @@
 	shareWarmUp = 10 * time.Second
 	shareRun    = 50 * time.Second
 	shareSample = 50 * time.Millisecond
-	// fullLoad is the load of the full pool, as a multiple of its slots.
-	fullLoad   = 1.5
+	// fullLoad is the load of the full pool, as a multiple of its slots. Each team then asks for at least 1.3 times its
+	// share; a team that asks for just its share would now and then have no work waiting.
+	fullLoad   = 2.0
 	taskRun    = 600 * time.Millisecond
 	burstTime  = 4 * time.Second
 	burstsRun  = 2 * services * burstTime
