admission: keep each team within its fleet-wide entitlement

Each host rounded its part of an entitlement to the nearest task; parts just above half a task were rounded up on all six hosts. Ruled out: reports every 250 ms, which double their bytes. Change: a team's fleet-wide use is held at its entitlement as well, and a host below its part asks the upstreams, which refuse what does not fit.

--- a/admission/release.go
+++ b/admission/release.go
@@ -11,9 +11,11 @@
 // poolView is the fleet-wide load of one pool, as far as this host knows it.
 type poolView struct {
 	capacity vector
-	use      vector
-	wanted   vector
-	teams    map[string]*teamView
+	// own is the use of this host, exact; use is that of all hosts, as old as their reports.
+	own    vector
+	use    vector
+	wanted vector
+	teams  map[string]*teamView
 	// urgentTeams are teams with urgent work that has waited too long.
 	urgentTeams map[string]bool
 }
@@ -72,6 +74,7 @@
 }
 
 func (v *poolView) start(team string, size vector) {
+	v.own = v.own.add(size)
 	v.use = v.use.add(size)
 	v.teams[team].use = v.teams[team].use.add(size)
 }
@@ -97,24 +100,29 @@
 	return best
 }
 
-// mayStart states whether a team's next request stays within this host's part of its entitlement, rounded to the
-// nearest whole task: rounding down would leave up to one task for each team and host idle.
+// mayStart states whether a team's next request may start now.
 //
-// With many hosts a part can stay below half a task everywhere. Therefore a host also starts a task while the team
-// is below its fleet-wide entitlement, in a share of the time that corresponds to its part.
+// On a contended pool, the team's use must stay within its fleet-wide entitlement and this host's within its part of
+// it, both rounded to the nearest whole task: rounding down would leave up to one task for each team and host idle.
+// Without the first condition, parts just above half a task would be rounded up on every host. A host that is below
+// its part does not trust that the pool is full, since the reports of others are up to a second old; the upstreams
+// refuse what does not fit.
+//
+// With many hosts a part can stay below half a task everywhere. Therefore a host also starts a task above its part in
+// a share of the time that corresponds to it.
 func (v *poolView) mayStart(now time.Time, seed maphash.Seed, tv *teamView, q *teamQueue) bool {
 	size := toVector(q.head().Request.Size)
-	if !v.fits(size) {
-		return false
-	}
 	if !v.contended() {
-		return true
+		return fits(v.use, size, v.capacity)
+	}
+	if tv.use.add(size.scale(roundingPart)).dominant(v.capacity) > tv.entitled+shareEpsilon {
+		return false
 	}
 	own := toVector(q.use)
 	if own.add(size.scale(roundingPart)).dominant(v.capacity) <= tv.portion+shareEpsilon {
-		return true
+		return fits(v.own, size, v.capacity)
 	}
-	if tv.use.add(size).dominant(v.capacity) > tv.entitled+shareEpsilon {
+	if !fits(v.use, size, v.capacity) {
 		return false
 	}
 	return own.add(size.scale(dither(now, seed, q.team))).dominant(v.capacity) <= tv.portion+shareEpsilon
@@ -139,9 +147,10 @@
 	window int64
 }
 
-func (v *poolView) fits(size vector) bool {
+// fits states whether size can be added to use within capacity.
+func fits(use, size, capacity vector) bool {
 	for r := range size {
-		if size[r] > 0 && v.use[r]+size[r] > v.capacity[r]+shareEpsilon {
+		if size[r] > 0 && use[r]+size[r] > capacity[r]+shareEpsilon {
 			return false
 		}
 	}
@@ -165,6 +174,7 @@
 		view := s.view(views, l.Pool)
 		tv := view.team(l.Team)
 		tv.own = toVector(addSize(l.Use, l.Waiting))
+		view.own = view.own.add(toVector(l.Use))
 		view.addLoad(l)
 	}
 	for peer, report := range s.peers {
