Clear departed entry hosts on an operator's word

A revision could not be settled when the majority of every zone was lost at once, since the dead hosts cannot be told from ones that are cut off together; control.Clear had no way in from outside. Clearing by deleting from the record with the platform's tools was ruled out, because it is not ordered with other writes and not logged.

Operator, hosts and reason are logged.

--- a/admin/client_test.go
+++ b/admin/client_test.go
@@ -27,6 +27,7 @@
 	calls     []string
 	committed map[uint64]string
 	rollout   func(version uint64, digest string) error
+	clear     func() error
 }
 
 func (f *fakeBackend) Status(ctx context.Context) StatusReport {
@@ -70,6 +71,13 @@
 	return RolloutReport{Version: version, Digest: digest, Committed: ok}
 }
 
+func (f *fakeBackend) ClearDeparted(ctx context.Context, request ClearRequest) (ClearReport, error) {
+	fakeMu.Lock()
+	defer fakeMu.Unlock()
+	f.calls = append(f.calls, "clear by "+Operator(ctx)+": "+request.Reason)
+	return ClearReport{Cleared: request.Hosts, Revision: 9}, f.clear()
+}
+
 func (f *fakeBackend) Assignments(context.Context) []AssignmentReport { return nil }
 
 func (f *fakeBackend) Explain(_ context.Context, kind, name string) Explanation {
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -47,6 +47,7 @@
 	routes.HandleFunc("/bundles/{version:[0-9]+}", h.signed(h.bundle)).Methods(http.MethodGet)
 	routes.HandleFunc("/rollouts", h.signed(h.rollout)).Methods(http.MethodPost)
 	routes.HandleFunc("/rollouts/{version:[0-9]+}", h.signed(h.progress)).Methods(http.MethodGet)
+	routes.HandleFunc(clearPath, h.signed(h.clear)).Methods(http.MethodPost)
 	routes.HandleFunc("/explain/{kind}/{name}", h.signed(h.explain)).Methods(http.MethodGet)
 	routes.PathPrefix("/").HandlerFunc(h.notFound)
 }
--- a/admin/reports.go
+++ b/admin/reports.go
@@ -38,6 +38,8 @@
 	Teams      []TeamStatus   `json:"teams"`
 	// Notes are findings that need an operator's attention, such as a host that was drained by hand.
 	Notes []string `json:"notes,omitempty"`
+	// Settling is the progress of the change that is being settled, by zone; empty if there is none.
+	Settling []ZoneProgress `json:"settling,omitempty"`
 }
 
 // MemberStatus is one entry host.
@@ -46,8 +48,12 @@
 	Zone     string `json:"zone"`
 	Address  string `json:"address"`
 	Departed bool   `json:"departed,omitempty"`
-	Relay    bool   `json:"relay,omitempty"`
-	// HeardAgeMS is the time since the host was last heard from; -1 if it is not a neighbour.
+	// DepartedMS is the time since this host first saw it on the departed list; -1 if it is not there.
+	DepartedMS int64 `json:"departed_ms"`
+	// Suspect: a relay does not hear it; it is evicted unless it objects.
+	Suspect bool `json:"suspect,omitempty"`
+	Relay   bool `json:"relay,omitempty"`
+	// HeardAgeMS is the time since the host was last heard from; -1 if that is not known.
 	HeardAgeMS int64 `json:"heard_age_ms"`
 }
 
@@ -55,7 +61,7 @@
 type ZoneStatus struct {
 	Name         string `json:"name"`
 	OutOfService bool   `json:"out_of_service,omitempty"`
-	// SeenAgeMS is the time since a majority of the zone held this revision; -1 for never.
+	// SeenAgeMS is the time since a majority of the zone held this revision; -1 if that is not known.
 	SeenAgeMS int64 `json:"seen_age_ms"`
 }
 
@@ -157,6 +163,9 @@
 	RolloutProgress(ctx context.Context, version uint64) RolloutReport
 	// Assignments returns the pool assignment of every upstream host.
 	Assignments(ctx context.Context) []AssignmentReport
+	// ClearDeparted takes evicted entry hosts off the departed list. The request was checked. Code 5301 says that
+	// nothing was or will be committed by this call, 5105 that this is not known.
+	ClearDeparted(ctx context.Context, request ClearRequest) (ClearReport, error)
 	// Explain says why a host, zone, pool, queue, team, key or task is as it is.
 	Explain(ctx context.Context, kind, name string) Explanation
 }
--- a/cmd/cgctl/operate_test.go
+++ b/cmd/cgctl/operate_test.go
@@ -28,12 +28,15 @@
 	other       []byte
 	never       bool // accepts nothing
 	assignments []admin.AssignmentReport
+	members     []admin.MemberStatus
+	cleared     []string
 }
 
 func (f *fakeFleet) version() uint64 { return uint64(len(f.envelopes)) }
 
 func (f *fakeFleet) Status(context.Context) admin.StatusReport {
 	return admin.StatusReport{HostID: "e1", BundleVersion: f.version(), AcceptedVersion: f.version(),
+		Members: f.members, Settling: []admin.ZoneProgress{{Zone: "zone-2", WaitingFor: []string{"e9"}, LatestEndMS: 5000}},
 		Teams: []admin.TeamStatus{{Name: "team-1", Share: 500}}, Notes: []string{"u-003 was drained by hand"}}
 }
 
@@ -73,6 +76,11 @@
 		ConfirmedMS: 12, AcceptedMS: 34, Zones: []admin.ZoneProgress{zone}}
 }
 
+func (f *fakeFleet) ClearDeparted(ctx context.Context, request admin.ClearRequest) (admin.ClearReport, error) {
+	f.cleared = append(f.cleared, strings.Join(request.Hosts, ",")+" by "+admin.Operator(ctx)+": "+request.Reason)
+	return admin.ClearReport{Cleared: request.Hosts, Revision: 9}, nil
+}
+
 func (f *fakeFleet) Assignments(context.Context) []admin.AssignmentReport { return f.assignments }
 
 func (f *fakeFleet) Explain(_ context.Context, kind, name string) admin.Explanation {
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -44,6 +44,7 @@
 	report.BundleDigest = hex.EncodeToString(s.record.BundleDigest[:])
 	report.AcceptedVersion = s.record.AcceptedVersion
 	report.Members = inc.memberStatus(ctx, s, &report)
+	report.Settling = inc.zoneProgress(ctx)
 	if s.index == nil {
 		return report
 	}
@@ -76,6 +77,9 @@
 	for _, m := range s.record.Departed {
 		departed := memberReport(m, false)
 		departed.Departed = true
+		if at := inc.rollouts.departedAt(m.ID); !at.IsZero() {
+			departed.DepartedMS = time.Since(at).Milliseconds()
+		}
 		members = append(members, departed)
 	}
 	return members
@@ -86,7 +90,7 @@
 	if neighbour {
 		age = 0
 	}
-	return admin.MemberStatus{ID: m.ID, Zone: m.Zone, Address: m.Address, HeardAgeMS: age}
+	return admin.MemberStatus{ID: m.ID, Zone: m.Zone, Address: m.Address, DepartedMS: unknownMS, HeardAgeMS: age}
 }
 
 func poolStatus(s *state) []admin.PoolStatus {
--- /dev/null
+++ b/daemon/clear.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/admin"
+	"citrongauge.example/citrongauge/control"
+	"citrongauge.example/citrongauge/result"
+)
+
+// clearTimeout is longer than control.WriteTimeout, after which the control core reports in any case.
+const clearTimeout = control.WriteTimeout + time.Second
+
+// ClearDeparted implements admin.Backend.
+func (b adminBackend) ClearDeparted(ctx context.Context, request admin.ClearRequest) (admin.ClearReport, error) {
+	logger := b.d.log.With("component", "admin", "operator", admin.Operator(ctx), "hosts", request.Hosts, "reason", request.Reason)
+	logger.Warn("clearing of departed entry hosts asked for")
+	revision, err := b.d.inc.Load().clearDeparted(ctx, request.Hosts)
+	if err != nil {
+		logger.Warn("departed entry hosts not cleared", "err", err)
+		return admin.ClearReport{}, err
+	}
+	logger.Warn("departed entry hosts cleared", "revision", revision)
+	return admin.ClearReport{Cleared: request.Hosts, Revision: revision}, nil
+}
+
+func (inc *incarnation) clearDeparted(ctx context.Context, ids []string) (uint64, error) {
+	s := inc.loop.state.Load()
+	if s == nil {
+		return 0, result.Errorf(result.AdminNotFound, "this entry host holds no control record")
+	}
+	if err := admin.CheckDeparted(s.record, ids); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
+	defer cancel()
+	id := newNonce()
+	revision, err := inc.write(ctx, id, control.Clear{ID: id, Hosts: ids})
+	if errors.Is(err, errNoOutcome) {
+		return 0, result.Errorf(result.RolloutUnresolved, "clearing of %v", ids)
+	}
+	return revision, err
+}
--- a/daemon/rollout.go
+++ b/daemon/rollout.go
@@ -27,19 +27,22 @@
 	accepted  time.Time
 }
 
-// rolloutTimes keeps the times of the last versions.
+// rolloutTimes keeps the times of the last versions and of the departed entry hosts.
 type rolloutTimes struct {
 	mu       sync.Mutex
 	versions map[uint64]*rolloutTime
+	// departed holds when each host of the departed list was first seen there.
+	departed map[string]time.Time
 }
 
 func newRolloutTimes() *rolloutTimes {
-	return &rolloutTimes{versions: make(map[uint64]*rolloutTime)}
+	return &rolloutTimes{versions: make(map[uint64]*rolloutTime), departed: make(map[string]time.Time)}
 }
 
 func (t *rolloutTimes) adopted(now time.Time, r *control.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.noteDeparted(now, r)
 	if r.BundleVersion == 0 {
 		return
 	}
@@ -50,6 +53,26 @@
 	t.accept(now, r.AcceptedVersion)
 }
 
+// noteDeparted follows the departed list. The caller holds t.mu.
+func (t *rolloutTimes) noteDeparted(now time.Time, r *control.Record) {
+	departed := make(map[string]time.Time, len(r.Departed))
+	for _, m := range r.Departed {
+		at, ok := t.departed[m.ID]
+		if !ok {
+			at = now
+		}
+		departed[m.ID] = at
+	}
+	t.departed = departed
+}
+
+// departedAt returns when a host was first seen on the departed list, or the zero time.
+func (t *rolloutTimes) departedAt(id string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departed[id]
+}
+
 func (t *rolloutTimes) accepted(now time.Time, version uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,25 +128,36 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, rolloutCommitTimeout)
 	defer cancel()
-	results := make(chan control.WriteResult, 2)
 	id := newNonce()
+	_, err := inc.write(ctx, id, control.RollOut{
+		ID: id, Base: index.Bundle.Base, Version: index.Bundle.Version, Digest: index.Digest, Bundle: signed,
+	})
+	if errors.Is(err, errNoOutcome) {
+		return result.Errorf(result.RolloutUnresolved, "version %d", index.Bundle.Version)
+	}
+	return err
+}
+
+// errNoOutcome: a write was passed to the control loop and its outcome is not known.
+var errNoOutcome = errors.New("the outcome of the write is not known")
+
+// write passes a write with the given ID to the control loop and waits for its outcome. It returns the revision.
+func (inc *incarnation) write(ctx context.Context, id string, ev control.Event) (uint64, error) {
+	results := make(chan control.WriteResult, 2)
 	err := inc.loop.call(ctx, func(time.Time) {
 		inc.loop.waiting[id] = func(r control.WriteResult) { results <- r }
 	})
-	if err != nil {
-		return result.Errorf(result.StoreUnavailable, "the control loop is busy")
-	}
-	inc.loop.events <- control.RollOut{
-		ID: id, Base: index.Bundle.Base, Version: index.Bundle.Version, Digest: index.Digest, Bundle: signed,
+	if err != nil || !inc.loop.post(ev) {
+		return 0, result.Errorf(result.StoreUnavailable, "the control loop is busy")
 	}
 	select {
 	case r := <-results:
 		if r.Err != nil {
-			return r.Err
+			return 0, r.Err
 		}
-		return nil
+		return r.Revision, nil
 	case <-ctx.Done():
-		return result.Errorf(result.RolloutUnresolved, "version %d", index.Bundle.Version)
+		return 0, errNoOutcome
 	}
 }
 
