Explain why hosts, teams and zones wait, and show only measured ages

cgctl status printed 0s as the age of every member to which heartbeats are sent, without a measurement, and "never" for all other members and for all zones. explain gave one number of the pool's budget, which left out failures and drains by hand, and did not know zones.

status prints "-" for ages that are not known. The control core gives neither the time at which a member was heard nor the age of a zone, so both are "-" for now; load reports were ruled out as a substitute, since idle hosts send none. It shows suspects, the time on the departed list and the change that is being settled.

explain host takes new observations of the pool and gives the budgets of pool, zone and rack with each unavailable host and its reason, interventions with author, reason and end, and the planner's own answer with and without budgets and holds. explain team gives the cap, the split into grants and the use of the pools on which it waits, explain zone who is waited for, why and until when. Pools and keys are explained as well; tasks were promised by the usage and never implemented, so the usage no longer names them.

TestStatusAges fails with the previous output in 3 of 8 cases and passes now.

--- a/admin/reports.go
+++ b/admin/reports.go
@@ -166,7 +166,7 @@
 	// ClearDeparted takes evicted entry hosts off the departed list. The request was checked. Code 5301 says that
 	// nothing was or will be committed by this call, 5105 that this is not known.
 	ClearDeparted(ctx context.Context, request ClearRequest) (ClearReport, error)
-	// Explain says why a host, zone, pool, queue, team, key or task is as it is.
+	// Explain says why a host, zone, pool, queue, team or key is as it is.
 	Explain(ctx context.Context, kind, name string) Explanation
 }
 
--- a/cmd/cgctl/operate_test.go
+++ b/cmd/cgctl/operate_test.go
@@ -17,6 +17,7 @@
 	"citrongauge.example/citrongauge/control"
 	"citrongauge.example/citrongauge/result"
 
+	"github.com/charmbracelet/lipgloss"
 	"github.com/matryer/is"
 )
 
@@ -249,6 +250,38 @@
 	is.Equal(b.tool(exitOK, append(global, "explain", "host", "u-000")...), "because\n")
 }
 
+// Guards against an age that was not measured being shown as "never" or as 0s.
+func TestStatusAges(t *testing.T) {
+	tests := []struct {
+		name   string
+		status admin.StatusReport
+		line   string
+	}{
+		{"member not known", admin.StatusReport{Members: []admin.MemberStatus{{ID: "e2", Zone: "z", Address: "a", HeardAgeMS: -1}}}, "e2 z a - member"},
+		{"member measured", admin.StatusReport{Members: []admin.MemberStatus{{ID: "e2", Zone: "z", Address: "a"}}}, "e2 z a 0s member"},
+		{"suspect", admin.StatusReport{Members: []admin.MemberStatus{{ID: "e2", Zone: "z", Address: "a", HeardAgeMS: 1600, Suspect: true}}}, "e2 z a 1.6s suspect"},
+		{"departed", admin.StatusReport{Members: []admin.MemberStatus{{ID: "e2", Zone: "z", Address: "a", HeardAgeMS: -1, Departed: true, DepartedMS: 3000}}}, "e2 z a - departed for 3s"},
+		{"zone not known", admin.StatusReport{Zones: []admin.ZoneStatus{{Name: "z", SeenAgeMS: -1}}}, "z - in service"},
+		{"zone measured", admin.StatusReport{Zones: []admin.ZoneStatus{{Name: "z", SeenAgeMS: 250, OutOfService: true}}}, "z 250ms out of service"},
+		{"no store", admin.StatusReport{HostID: "e1", Zone: "z", Mode: "none", FreshAgeMS: -1}, "host e1 in z, mode none, record revision 0, never confirmed by the store"},
+		{"settling", admin.StatusReport{Settling: []admin.ZoneProgress{{Zone: "z", Members: 2, Confirmed: 1, WaitingFor: []string{"e4"}, LatestEndMS: -1}}}, "z 1/2 waiting for e4"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var out bytes.Buffer
+			style := lipgloss.NewRenderer(&out).NewStyle()
+			p := &printer{out: &out, good: style, warn: style, head: style}
+			p.printStatus(test.status)
+			for line := range strings.Lines(out.String()) {
+				if strings.Join(strings.Fields(line), " ") == test.line {
+					return
+				}
+			}
+			t.Errorf("no line %q in\n%s", test.line, &out)
+		})
+	}
+}
+
 // Guards against a drain that is let through although rack, zone or pool have no room, and against counting ended
 // drains or one host twice.
 func TestDrainEffect(t *testing.T) {
--- a/cmd/cgctl/output.go
+++ b/cmd/cgctl/output.go
@@ -87,8 +87,8 @@
 }
 
 // zones prints the progress of a roll-out.
-func (p *printer) zones(report admin.RolloutReport) {
-	for _, zone := range report.Zones {
+func (p *printer) zones(zones []admin.ZoneProgress) {
+	for _, zone := range zones {
 		style, state := p.good, "confirmed"
 		if zone.Confirmed < zone.Members {
 			style, state = p.warn, "waiting for "+strings.Join(zone.WaitingFor, ", ")
@@ -103,10 +103,10 @@
 	}
 }
 
-// age returns a time in milliseconds for people; -1 stands for never.
+// age returns a time in milliseconds for people; -1 stands for one that is not known.
 func age(ms int64) string {
 	if ms < 0 {
-		return "never"
+		return "-"
 	}
 	return (time.Duration(ms) * time.Millisecond).String()
 }
--- a/cmd/cgctl/rollout.go
+++ b/cmd/cgctl/rollout.go
@@ -144,11 +144,11 @@
 		out.Report = &report
 		if !sameProgress(shown, report.Zones) {
 			shown = report.Zones
-			s.zones(report)
+			s.zones(report.Zones)
 		}
 		if report.Accepted {
-			s.line("confirmed everywhere %s after the commit", age(report.ConfirmedMS))
-			s.line("%s", s.good.Render("accepted "+age(report.AcceptedMS)+" after the commit"))
+			s.line("confirmed everywhere%s", afterCommit(report.ConfirmedMS))
+			s.line("%s", s.good.Render("accepted"+afterCommit(report.AcceptedMS)))
 			return nil
 		}
 		select {
@@ -162,6 +162,14 @@
 	}
 }
 
+// afterCommit returns the time of a step of a roll-out, nothing if it is not known.
+func afterCommit(ms int64) string {
+	if ms < 0 {
+		return ""
+	}
+	return " " + age(ms) + " after the commit"
+}
+
 // sameProgress compares what an operator sees of the progress; the remaining time changes all the time.
 func sameProgress(a, b []admin.ZoneProgress) bool {
 	return reflect.DeepEqual(withoutTimes(a), withoutTimes(b))
--- a/cmd/cgctl/status.go
+++ b/cmd/cgctl/status.go
@@ -29,13 +29,18 @@
 }
 
 func (p *printer) printStatus(status admin.StatusReport) {
-	p.line("host %s in %s, mode %s, record revision %d, read %s ago", status.HostID, status.Zone, status.Mode,
-		status.Revision, age(status.FreshAgeMS))
+	fresh := "never confirmed by the store"
+	if status.FreshAgeMS >= 0 {
+		fresh = "confirmed by the store " + age(status.FreshAgeMS) + " ago"
+	}
+	p.line("host %s in %s, mode %s, record revision %d, %s", status.HostID, status.Zone, status.Mode, status.Revision, fresh)
 	accepted := p.good.Render("accepted")
 	if status.AcceptedVersion < status.BundleVersion {
 		accepted = p.warn.Render(fmt.Sprintf("last accepted is %d", status.AcceptedVersion))
 	}
-	p.line("bundle version %d, %s\n", status.BundleVersion, accepted)
+	p.line("bundle version %d, %s", status.BundleVersion, accepted)
+	p.zones(status.Settling)
+	p.line("")
 
 	members := [][]string{{"ENTRY HOST", "ZONE", "ADDRESS", "HEARD", "STATE"}}
 	for _, m := range status.Members {
@@ -64,8 +69,12 @@
 
 func memberState(m admin.MemberStatus) string {
 	switch {
+	case m.Departed && m.DepartedMS >= 0:
+		return "departed for " + age(m.DepartedMS)
 	case m.Departed:
 		return "departed"
+	case m.Suspect:
+		return "suspect"
 	case m.Relay:
 		return "relay"
 	}
@@ -124,7 +133,7 @@
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
-		Name: "explain", Usage: "say why a host, zone, pool, queue, team, key or task is as it is", ArgsUsage: "KIND NAME",
+		Name: "explain", Usage: "say why a host, zone, pool, queue, team or key is as it is", ArgsUsage: "KIND NAME",
 		Action: action(showExplanation),
 	}
 }
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
-	"fmt"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -57,40 +57,42 @@
 	return report
 }
 
-// memberStatus lists the entry hosts and sets the report's freshness.
+// memberStatus lists the entry hosts and sets the report's freshness. The control core does not tell when it heard a
+// member, so that age is not known.
 func (inc *incarnation) memberStatus(ctx context.Context, s *state, report *admin.StatusReport) []admin.MemberStatus {
-	var neighbours []control.Member
+	isRelay := false
 	_ = inc.loop.call(ctx, func(now time.Time) {
-		neighbours = inc.loop.currentNeighbours(now)
+		isRelay = inc.loop.core.IsRelay()
 		if at := inc.loop.core.FreshAt(); !at.IsZero() {
 			report.FreshAgeMS = now.Sub(at).Milliseconds()
 		}
 	})
-	heard := make(map[string]bool, len(neighbours))
-	for _, m := range neighbours {
-		heard[m.ID] = true
-	}
 	var members []admin.MemberStatus
 	for _, m := range s.record.Roster {
-		members = append(members, memberReport(m, heard[m.ID]))
+		member := memberReport(m)
+		member.Suspect = slices.Contains(s.record.Suspects, m.ID)
+		member.Relay = isRelay && m.ID == inc.self.ID
+		members = append(members, member)
 	}
 	for _, m := range s.record.Departed {
-		departed := memberReport(m, false)
+		departed := memberReport(m)
 		departed.Departed = true
-		if at := inc.rollouts.departedAt(m.ID); !at.IsZero() {
-			departed.DepartedMS = time.Since(at).Milliseconds()
-		}
+		departed.DepartedMS = ageMS(time.Now(), inc.rollouts.departedAt(m.ID))
 		members = append(members, departed)
 	}
 	return members
 }
 
-func memberReport(m control.Member, neighbour bool) admin.MemberStatus {
-	age := int64(unknownMS)
-	if neighbour {
-		age = 0
+func memberReport(m control.Member) admin.MemberStatus {
+	return admin.MemberStatus{ID: m.ID, Zone: m.Zone, Address: m.Address, DepartedMS: unknownMS, HeardAgeMS: unknownMS}
+}
+
+// ageMS returns the age of a time in reports.
+func ageMS(now, at time.Time) int64 {
+	if at.IsZero() {
+		return unknownMS
 	}
-	return admin.MemberStatus{ID: m.ID, Zone: m.Zone, Address: m.Address, DepartedMS: unknownMS, HeardAgeMS: age}
+	return now.Sub(at).Milliseconds()
 }
 
 func poolStatus(s *state) []admin.PoolStatus {
@@ -227,78 +229,3 @@
 	}
 	return reports
 }
-
-// Explain implements admin.Backend.
-func (b adminBackend) Explain(_ context.Context, kind, name string) admin.Explanation {
-	e := admin.Explanation{Kind: kind, Name: name}
-	inc := b.d.inc.Load()
-	s := inc.loop.state.Load()
-	if s == nil || s.index == nil {
-		return e
-	}
-	switch kind {
-	case "host":
-		e.Lines = explainHost(s, name)
-	case "team":
-		e.Lines = inc.explainTeam(s, name)
-	case "queue":
-		e.Lines = explainQueue(s, name)
-	}
-	e.Found = len(e.Lines) > 0
-	return e
-}
-
-func explainHost(s *state, name string) []string {
-	host := s.index.Host(name)
-	if host == nil {
-		return nil
-	}
-	lines := []string{fmt.Sprintf("availability zone %s, rack %s", host.Zone, host.Rack)}
-	if zone := s.index.Zone(host.Zone); zone != nil && zone.OutOfService {
-		lines = append(lines, "its availability zone is out of service")
-	}
-	a, ok := s.assignments[name]
-	if !ok {
-		return append(lines, "it has no pool assignment yet")
-	}
-	lines = append(lines, fmt.Sprintf("pool %s, epoch %d, state %s", a.Pool, a.Epoch, a.State))
-	pool := s.index.Pool(a.Pool)
-	if pool == nil || a.State != control.InService {
-		return lines
-	}
-	for _, status := range poolStatus(s) {
-		if status.Name == a.Pool && status.Unavailable >= status.MaxUnavailable {
-			lines = append(lines, fmt.Sprintf("it is not drained: %d of at most %d hosts of the pool are unavailable", status.Unavailable, status.MaxUnavailable))
-		}
-	}
-	return lines
-}
-
-func (inc *incarnation) explainTeam(s *state, name string) []string {
-	team := s.index.Team(name)
-	if team == nil {
-		return nil
-	}
-	use := inc.fleetUse(time.Now())[name]
-	lines := []string{
-		fmt.Sprintf("share %d permille, cap %d slots", team.Share, team.Cap),
-		fmt.Sprintf("in use %d slots, not granted %d slots, fleet-wide as far as this host knows", use.InUse, use.Unmet),
-		fmt.Sprintf("this host holds %d slots and may hold %d", inc.account.InUse(name), inc.account.Limit(name)),
-	}
-	if use.InUse >= team.Cap {
-		lines = append(lines, "requests wait because the cap is reached")
-	}
-	return lines
-}
-
-func explainQueue(s *state, name string) []string {
-	queue := s.index.Queue(name)
-	if queue == nil {
-		return nil
-	}
-	lines := []string{fmt.Sprintf("pool %s, at most %d waiting for each team and host", queue.Pool, queue.MaxQueued)}
-	if queue.Open {
-		lines = append(lines, "open to all; runs for team "+queue.OpenTeam)
-	}
-	return lines
-}
--- a/daemon/notes.go
+++ b/daemon/notes.go
@@ -7,9 +7,13 @@
 
 	"github.com/go-faster/errors"
 
+	"citrongauge.example/citrongauge/admission"
+	"citrongauge.example/citrongauge/bundle"
 	"citrongauge.example/citrongauge/grant"
+	"citrongauge.example/citrongauge/maintenance"
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/result"
+	"citrongauge.example/citrongauge/upstream"
 )
 
 // storeError gives an error of the store a result code.
@@ -32,6 +36,59 @@
 	return sumTeams(own, inc.loads.peerUse(now))
 }
 
+// fleetLoads returns the load by pool and team, fleet-wide as far as this host knows.
+func (inc *incarnation) fleetLoads(now time.Time) []admission.Load {
+	lists := [][]admission.Load{inc.loads.zoneSum(now, loadReport{loads: inc.scheduler.Loads(now)}).loads}
+	for _, r := range inc.loads.zoneReports(now) {
+		lists = append(lists, r.loads)
+	}
+	return admission.SumLoads(lists...)
+}
+
+// observePool asks the platform and the upstreams of one pool for their state.
+func (inc *incarnation) observePool(ctx context.Context, s *state, pool string) maintenance.Observations {
+	ctx, cancel := context.WithTimeout(ctx, maintainInterval)
+	defer cancel()
+	var obs maintenance.Observations
+	listAt := time.Now()
+	list, err := inc.d.hosts.Hosts(ctx)
+	if err == nil {
+		obs.HostListAt = listAt
+	}
+	_ = inc.loop.call(ctx, func(time.Time) { obs.RecordAt = inc.loop.core.FreshAt() })
+	var hosts []bundle.Host
+	for _, a := range s.record.Assignments {
+		if host := s.index.Host(a.Host); host != nil && a.Pool == pool {
+			hosts = append(hosts, *host)
+		}
+	}
+	obs.Hosts = (&maintainer{inc: inc}).statuses(ctx, hosts)
+	for _, h := range list {
+		if seen, ok := obs.Hosts[h.ID]; ok {
+			seen.Listed, seen.DrainedByHand = h.State, h.Drained
+			obs.Hosts[h.ID] = seen
+		}
+	}
+	return obs
+}
+
+// usedUp lists the resources of a pool of which nothing is left.
+func usedUp(use, capacity upstream.Size) []string {
+	var full []string
+	for _, r := range []struct {
+		name      string
+		use, have int
+	}{
+		{"slots", use.Slots, capacity.Slots}, {"processors", use.CPUs, capacity.CPUs},
+		{"memory", use.MemoryMB, capacity.MemoryMB}, {"accelerators", use.Accelerators, capacity.Accelerators},
+	} {
+		if r.have > 0 && r.use >= r.have {
+			full = append(full, r.name)
+		}
+	}
+	return full
+}
+
 // notes lists findings that need an operator's attention.
 func (d *Daemon) notes(ctx context.Context, s *state) []string {
 	var notes []string
