Show interventions in the history

cgctl history listed author and reason of versions only, so that drains and holds with their own author, reason and end could not be traced.

Each version now has the interventions that it started and removed against its base, with kind, target, end, author and reason. The base of the last version listed is read as well; if it is not kept any more, nothing is said of changes.

In TestEdits the literal of the expected entry names its fields, since the type has two more; the comparison is as strict as before, and the new fields are expected to be empty. The tests of cgctl pass with the race detector.

--- a/cmd/cgctl/operate_test.go
+++ b/cmd/cgctl/operate_test.go
@@ -45,7 +45,7 @@
 	if version == 0 {
 		version = f.version()
 	}
-	if version == 0 || version > f.version() {
+	if version == 0 || version > f.version() || f.envelopes[version-1] == nil {
 		return nil, result.Errorf(result.AdminNotFound, "version %d", version)
 	}
 	return f.envelopes[version-1], nil
@@ -184,7 +184,7 @@
 	text := b.tool(exitOK, "--host", b.host, "--operator-key", b.file("bo.key"), "--output", "json", "history", "-n", "2")
 	is.NoErr(json.Unmarshal([]byte(text), &history))
 	is.Equal(len(history), 2)
-	is.Equal(history[1], historyEntry{before - 1, before - 2, "amara", "leak"})
+	is.Equal(history[1], historyEntry{Version: before - 1, Base: before - 2, Author: "amara", Reason: "leak"})
 }
 
 func (b *bench) current() *bundle.Bundle {
--- a/cmd/cgctl/status.go
+++ b/cmd/cgctl/status.go
@@ -6,7 +6,6 @@
 	"strconv"
 
 	"citrongauge.example/citrongauge/admin"
-	"citrongauge.example/citrongauge/result"
 
 	"github.com/urfave/cli/v3"
 )
@@ -88,49 +87,6 @@
 	return "in service"
 }
 
-// historyEntry is one version of the history.
-type historyEntry struct {
-	Version uint64 `json:"version"`
-	Base    uint64 `json:"base"`
-	Author  string `json:"author"`
-	Reason  string `json:"reason"`
-}
-
-func historyCommand() *cli.Command {
-	return &cli.Command{
-		Name: "history", Usage: "list the latest versions with author and reason",
-		Flags:  []cli.Flag{&cli.IntFlag{Name: "number", Aliases: []string{"n"}, Value: 20, Usage: "`COUNT` of versions"}},
-		Action: action(showHistory),
-	}
-}
-
-// showHistory follows the versions back by their base: only a bundle that is based on the version in force can
-// become the next one.
-func showHistory(ctx context.Context, cmd *cli.Command, p *printer) error {
-	s, err := openSession(cmd, p)
-	if err != nil {
-		return err
-	}
-	entries := []historyEntry{}
-	rows := [][]string{{"VERSION", "AUTHOR", "REASON"}}
-	for version := uint64(0); len(entries) < cmd.Int("number"); {
-		b, err := s.fetch(ctx, version)
-		if hasCode(err, result.AdminNotFound) {
-			break // older versions are not kept
-		}
-		if err != nil {
-			return err
-		}
-		entries = append(entries, historyEntry{b.Version, b.Base, b.Author, b.Reason})
-		rows = append(rows, []string{strconv.FormatUint(b.Version, 10), b.Author, b.Reason})
-		if version = b.Base; version == 0 {
-			break
-		}
-	}
-	s.table(rows)
-	return s.object(entries)
-}
-
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "explain", Usage: "say why a host, zone, pool, queue, team or key is as it is", ArgsUsage: "KIND NAME",
