--- a/cmd/cgctl/status.go
+++ b/cmd/cgctl/status.go
@@ -6,7 +6,6 @@
 	"strconv"
 
 	"citrongauge.example/citrongauge/admin"
-	"citrongauge.example/citrongauge/result"
 
 	"github.com/urfave/cli/v3"
 )
@@ -29,13 +28,18 @@
 }
 
 func (p *printer) printStatus(status admin.StatusReport) {
-	p.line("host %s in %s, mode %s, record revision %d, read %s ago", status.HostID, status.Zone, status.Mode,
-		status.Revision, age(status.FreshAgeMS))
+	fresh := "never confirmed by the store"
+	if status.FreshAgeMS >= 0 {
+		fresh = "confirmed by the store " + age(status.FreshAgeMS) + " ago"
+	}
+	p.line("host %s in %s, mode %s, record revision %d, %s", status.HostID, status.Zone, status.Mode, status.Revision, fresh)
 	accepted := p.good.Render("accepted")
 	if status.AcceptedVersion < status.BundleVersion {
 		accepted = p.warn.Render(fmt.Sprintf("last accepted is %d", status.AcceptedVersion))
 	}
-	p.line("bundle version %d, %s\n", status.BundleVersion, accepted)
+	p.line("bundle version %d, %s", status.BundleVersion, accepted)
+	p.zones(status.Settling)
+	p.line("")
 
 	members := [][]string{{"ENTRY HOST", "ZONE", "ADDRESS", "HEARD", "STATE"}}
 	for _, m := range status.Members {
@@ -64,8 +68,12 @@
 
 func memberState(m admin.MemberStatus) string {
 	switch {
+	case m.Departed && m.DepartedMS >= 0:
+		return "departed for " + age(m.DepartedMS)
 	case m.Departed:
 		return "departed"
+	case m.Suspect:
+		return "suspect"
 	case m.Relay:
 		return "relay"
 	}
@@ -79,52 +87,9 @@
 	return "in service"
 }
 
-// historyEntry is one version of the history.
-type historyEntry struct {
-	Version uint64 `json:"version"`
-	Base    uint64 `json:"base"`
-	Author  string `json:"author"`
-	Reason  string `json:"reason"`
-}
-
-func historyCommand() *cli.Command {
-	return &cli.Command{
-		Name: "history", Usage: "list the latest versions with author and reason",
-		Flags:  []cli.Flag{&cli.IntFlag{Name: "number", Aliases: []string{"n"}, Value: 20, Usage: "`COUNT` of versions"}},
-		Action: action(showHistory),
-	}
-}
-
-// showHistory follows the versions back by their base: only a bundle that is based on the version in force can
-// become the next one.
-func showHistory(ctx context.Context, cmd *cli.Command, p *printer) error {
-	s, err := openSession(cmd, p)
-	if err != nil {
-		return err
-	}
-	entries := []historyEntry{}
-	rows := [][]string{{"VERSION", "AUTHOR", "REASON"}}
-	for version := uint64(0); len(entries) < cmd.Int("number"); {
-		b, err := s.fetch(ctx, version)
-		if hasCode(err, result.AdminNotFound) {
-			break // older versions are not kept
-		}
-		if err != nil {
-			return err
-		}
-		entries = append(entries, historyEntry{b.Version, b.Base, b.Author, b.Reason})
-		rows = append(rows, []string{strconv.FormatUint(b.Version, 10), b.Author, b.Reason})
-		if version = b.Base; version == 0 {
-			break
-		}
-	}
-	s.table(rows)
-	return s.object(entries)
-}
-
 func explainCommand() *cli.Command {
 	return &cli.Command{
-		Name: "explain", Usage: "say why a host, zone, pool, queue, team, key or task is as it is", ArgsUsage: "KIND NAME",
+		Name: "explain", Usage: "say why a host, zone, pool, queue, team or key is as it is", ArgsUsage: "KIND NAME",
 		Action: action(showExplanation),
 	}
 }
