Show ages in status, count ejected upstreams in budgets

Cause: status showed members and zones as unknown, and hosts that fail everything they are given did not count as unavailable, so maintenance could stop one more.

--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -43,35 +43,38 @@
 	report.BundleVersion = s.record.BundleVersion
 	report.BundleDigest = hex.EncodeToString(s.record.BundleDigest[:])
 	report.AcceptedVersion = s.record.AcceptedVersion
+	if s.index != nil {
+		for _, z := range s.index.Bundle.Zones {
+			report.Zones = append(report.Zones, admin.ZoneStatus{Name: z.Name, OutOfService: z.OutOfService, SeenAgeMS: unknownMS})
+		}
+	}
 	report.Members = inc.memberStatus(ctx, s, &report)
 	report.Settling = inc.zoneProgress(ctx)
 	if s.index == nil {
 		return report
 	}
-	for _, z := range s.index.Bundle.Zones {
-		report.Zones = append(report.Zones, admin.ZoneStatus{Name: z.Name, OutOfService: z.OutOfService, SeenAgeMS: unknownMS})
-	}
 	report.Pools = poolStatus(s)
 	report.Teams = inc.teamStatus(s)
 	report.Notes = b.d.notes(ctx, s)
 	return report
 }
 
-// memberStatus lists the entry hosts and sets the report's freshness. The control core does not tell when it heard a
+// memberStatus lists the entry hosts and sets the ages of the report. The control core does not tell when it heard a
 // member, so that age is not known.
 func (inc *incarnation) memberStatus(ctx context.Context, s *state, report *admin.StatusReport) []admin.MemberStatus {
-	isRelay := false
-	_ = inc.loop.call(ctx, func(now time.Time) {
-		isRelay = inc.loop.core.IsRelay()
-		if at := inc.loop.core.FreshAt(); !at.IsZero() {
-			report.FreshAgeMS = now.Sub(at).Milliseconds()
+	view := inc.controlView(ctx, s)
+	report.FreshAgeMS = view.freshAgeMS
+	for i, z := range report.Zones {
+		if age, ok := view.zoneAgeMS[z.Name]; ok {
+			report.Zones[i].SeenAgeMS = age
 		}
-	})
+	}
 	var members []admin.MemberStatus
 	for _, m := range s.record.Roster {
 		member := memberReport(m)
+		member.HeardAgeMS = view.heardAgeMS[m.ID]
 		member.Suspect = slices.Contains(s.record.Suspects, m.ID)
-		member.Relay = isRelay && m.ID == inc.self.ID
+		member.Relay = view.isRelay && m.ID == inc.self.ID
 		members = append(members, member)
 	}
 	for _, m := range s.record.Departed {
@@ -87,6 +90,34 @@
 	return admin.MemberStatus{ID: m.ID, Zone: m.Zone, Address: m.Address, DepartedMS: unknownMS, HeardAgeMS: unknownMS}
 }
 
+// controlView is what the control goroutine knows of the others, as ages in milliseconds.
+type controlView struct {
+	isRelay    bool
+	freshAgeMS int64
+	zoneAgeMS  map[string]int64
+	heardAgeMS map[string]int64
+}
+
+func (inc *incarnation) controlView(ctx context.Context, s *state) controlView {
+	view := controlView{freshAgeMS: unknownMS, zoneAgeMS: make(map[string]int64), heardAgeMS: make(map[string]int64)}
+	for _, m := range s.record.Roster {
+		view.heardAgeMS[m.ID] = unknownMS
+	}
+	_ = inc.loop.call(ctx, func(now time.Time) {
+		core := inc.loop.core
+		view.isRelay = core.IsRelay()
+		view.freshAgeMS = ageMS(now, core.FreshAt())
+		for zone, at := range core.ZoneSeen() {
+			view.zoneAgeMS[zone] = ageMS(now, at)
+		}
+		for _, m := range s.record.Roster {
+			view.heardAgeMS[m.ID] = ageMS(now, core.HeardAt(m.ID))
+		}
+		view.heardAgeMS[inc.self.ID] = 0
+	})
+	return view
+}
+
 // ageMS returns the age of a time in reports.
 func ageMS(now, at time.Time) int64 {
 	if at.IsZero() {
--- a/daemon/maintain.go
+++ b/daemon/maintain.go
@@ -135,7 +135,9 @@
 	}
 	_ = m.inc.loop.call(ctx, func(time.Time) { m.obs.RecordAt = m.inc.loop.core.FreshAt() })
 	seen := m.statuses(ctx, s.index.Bundle.Hosts)
+	ejected := m.inc.d.table.Ejected(time.Now())
 	for id, o := range seen {
+		o.Failing = ejected[id]
 		o.Listed = listed[id].State
 		o.DrainedByHand = listed[id].Drained
 		seen[id] = o
--- a/routing/health.go
+++ b/routing/health.go
@@ -169,6 +169,19 @@
 	return n
 }
 
+// Ejected returns the hosts that get no work now because they failed what they were given.
+func (t *Table) Ejected(now time.Time) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ejected := make(map[string]bool)
+	for id, h := range t.hosts {
+		if h.health.ejected && now.Before(h.health.until) {
+			ejected[id] = true
+		}
+	}
+	return ejected
+}
+
 // trimEjections returns hosts to probation when the pool has shrunk below its number of ejections.
 func (p *pool) trimEjections() {
 	n := 0
