Do no scheduling work while nothing waits

Cause: each entry host computed entitlements of all its work 200 times a second, also with nothing waiting, and looked for work to preempt as often. Change: released only while something waits; preemption is decided every 100 ms, well within the 3.5 s of urgent work.

--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -270,6 +270,18 @@
 	t.Request.Size = measured
 }
 
+// HasWaiting states whether any request waits.
+func (s *Scheduler) HasWaiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, q := range s.queues {
+		if q.waitingCount() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // TeamWaiting is what waits of one team, over all pools.
 type TeamWaiting struct {
 	Team  string
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -20,6 +20,7 @@
 	maxEntries         = 200000
 	maxAnswerBytes     = 64 << 20
 	schedulerInterval  = 5 * time.Millisecond
+	preemptInterval    = 100 * time.Millisecond
 )
 
 // incarnation is one membership of this process in the fleet. A host that was evicted while it was paused comes back
@@ -208,6 +209,7 @@
 func (inc *incarnation) schedule() {
 	ticker := time.NewTicker(schedulerInterval)
 	defer ticker.Stop()
+	var preemptAt time.Time
 	for {
 		select {
 		case <-inc.ctx.Done():
@@ -216,8 +218,13 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		inc.scheduler.Release(now)
-		inc.scheduler.Preempt(now)
+		if inc.scheduler.HasWaiting() {
+			inc.scheduler.Release(now)
+		}
+		if now.After(preemptAt) {
+			preemptAt = now.Add(preemptInterval)
+			inc.scheduler.Preempt(now)
+		}
 	}
 }
 
