Wake up less at rest: schedule on demand, ask upstreams only when something is to be done

Ruled out: longer intervals for the control core; they enter the times that permission lasts. Change: the scheduler's short interval runs only while something waits; the planner first plans as if every host were available and asks the upstreams only if that yields anything, if hosts are out of service, or every 10 s.

--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -205,26 +205,30 @@
 	}
 }
 
-// schedule releases waiting requests whenever something may have changed.
+// schedule releases waiting requests whenever something may have changed. While nothing waits it wakes up only for
+// preemption: a fixed short interval made most of the wake-ups of an idle daemon.
 func (inc *incarnation) schedule() {
-	ticker := time.NewTicker(schedulerInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(preemptInterval)
+	defer timer.Stop()
 	var preemptAt time.Time
 	for {
 		select {
 		case <-inc.ctx.Done():
 			return
 		case <-inc.wake:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		now := time.Now()
-		if inc.scheduler.HasWaiting() {
-			inc.scheduler.Release(now)
-		}
 		if now.After(preemptAt) {
 			preemptAt = now.Add(preemptInterval)
 			inc.scheduler.Preempt(now)
 		}
+		if !inc.scheduler.HasWaiting() {
+			timer.Reset(preemptInterval)
+			continue
+		}
+		inc.scheduler.Release(now)
+		timer.Reset(schedulerInterval)
 	}
 }
 
--- a/daemon/maintain.go
+++ b/daemon/maintain.go
@@ -17,7 +17,9 @@
 
 const (
 	maintainInterval = time.Second
-	observeTimeout   = 500 * time.Millisecond
+	// idleInterval is the interval of observations while nothing is to be done.
+	idleInterval   = 10 * time.Second
+	observeTimeout = 500 * time.Millisecond
 	// observeParallel bounds the status calls that are made at the same time.
 	observeParallel = 32
 	commitTimeout   = 3 * time.Second
@@ -31,6 +33,9 @@
 	obs      maintenance.Observations
 	counters maintenance.Counters
 	lastAt   time.Time
+	// settledSeq is the pool sequence number at which nothing was left to do at the last observation.
+	settledSeq uint64
+	observedAt time.Time
 }
 
 // run works until the incarnation ends.
@@ -78,10 +83,16 @@
 	if !m.reconcile(ctx, s) {
 		return
 	}
+	if !m.mustObserve(s) {
+		return
+	}
 	m.observe(ctx, s)
 	m.account(s)
 	b := s.index.Bundle
 	actions := maintenance.Actions(time.Now(), b, s.record, m.obs)
+	if len(actions) == 0 {
+		m.settledSeq = s.record.PoolSeq
+	}
 	changes := m.perform(ctx, s, actions)
 	if len(changes) == 0 {
 		changes = maintenance.Plan(time.Now(), b, s.record, m.obs)
@@ -91,6 +102,38 @@
 	}
 }
 
+// mustObserve states whether upstreams have to be asked for their state in this round. Asking all of them each second
+// is the largest part of a planner's work, so they are asked only if hosts are out of service, if assignments were
+// changed, or if something would be planned if every host were available; and now and then.
+func (m *maintainer) mustObserve(s *state) bool {
+	now := time.Now()
+	if m.settledSeq != s.record.PoolSeq || now.Sub(m.observedAt) >= idleInterval {
+		m.observedAt = now
+		return true
+	}
+	for _, a := range s.record.Assignments {
+		if a.State != control.InService {
+			return true
+		}
+	}
+	hopeful := m.hopeful(now, s)
+	m.obs.Loads = hopeful.Loads
+	return len(maintenance.Plan(now, s.index.Bundle, s.record, hopeful)) > 0
+}
+
+// hopeful returns observations in which every host is available.
+func (m *maintainer) hopeful(now time.Time, s *state) maintenance.Observations {
+	obs := maintenance.Observations{RecordAt: now, HostListAt: now, Loads: m.obs.Loads}
+	obs.Hosts = make(map[string]maintenance.HostObservation, len(s.record.Assignments))
+	for _, a := range s.record.Assignments {
+		obs.Hosts[a.Host] = maintenance.HostObservation{
+			At: now, Listed: platform.HostLive, Status: upstream.Status{PoolEpoch: a.Epoch},
+		}
+	}
+	obs.Loads = maintenance.ObserveLoads(now, s.index.Bundle, s.record, obs, m.inc.poolDemand(now))
+	return obs
+}
+
 // account adds to the measures.
 func (m *maintainer) account(s *state) {
 	now := time.Now()
