--- a/bundle/sign.go
+++ b/bundle/sign.go
@@ -7,10 +7,9 @@
 	"encoding/binary"
 	"encoding/json"
 
+	"citrongauge.example/citrongauge/codec"
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/result"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // signatureDomain keeps a bundle's signature from being valid for anything else that an operator signs.
@@ -24,33 +23,14 @@
 	Signature []byte `cbor:"3,keyasint"`
 }
 
+// maxEnvelopeLevels is the deepest nesting of a signed bundle's envelope.
+const maxEnvelopeLevels = 4
+
 var (
-	envelopeEncoding = mustEncoding()
-	envelopeDecoding = mustDecoding()
+	envelopeEncoding = codec.Encoder()
+	envelopeDecoding = codec.Decoder(codec.Limits{Levels: maxEnvelopeLevels})
 )
 
-func mustEncoding() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   4,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Canonical returns the bundle as standard JSON without spaces and with the fields in the order of the types. It
 // is what operators sign.
 func (b *Bundle) Canonical() []byte {
--- a/control/codec.go
+++ b/control/codec.go
@@ -1,8 +1,7 @@
 package control
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
+	"citrongauge.example/citrongauge/codec"
 	"citrongauge.example/citrongauge/result"
 )
 
@@ -25,34 +24,10 @@
 )
 
 var (
-	encoding = newEncoding()
-	decoding = newDecoding()
+	encoding = codec.Encoder()
+	decoding = codec.Decoder(codec.Limits{Levels: maxNesting, Elements: maxElements, Pairs: maxFields})
 )
 
-func newEncoding() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}
-
-func newDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   maxNesting,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxFields,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // EncodeRecord returns the record's stored form. An invalid or too large record is an error.
 func EncodeRecord(record Record) ([]byte, error) {
 	if err := record.validate(); err != nil {
--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -7,8 +7,9 @@
 package grant
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/codec"
 )
 
 const keyPrefix = "grants/"
@@ -16,6 +17,11 @@
 // maxEntries bounds the entries of a ledger that is read.
 const maxEntries = 10000
 
+var (
+	encoding = codec.Encoder()
+	decoding = codec.Decoder(codec.Limits{Pairs: maxEntries})
+)
+
 // Key returns the store's key of a team's ledger.
 func Key(team string) string { return keyPrefix + team }
 
@@ -41,11 +47,7 @@
 
 // Encode returns the ledger as CBOR. Equal ledgers have equal encodings.
 func (l *Ledger) Encode() ([]byte, error) {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		return nil, errors.Wrap(err, "encoding mode")
-	}
-	data, err := mode.Marshal(l)
+	data, err := encoding.Marshal(l)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode ledger")
 	}
@@ -55,11 +57,7 @@
 // Decode reads a ledger and checks its ranges.
 func Decode(data []byte) (Ledger, error) {
 	var l Ledger
-	mode, err := cbor.DecOptions{MaxMapPairs: maxEntries, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
-	if err != nil {
-		return l, errors.Wrap(err, "decoding mode")
-	}
-	if err := mode.Unmarshal(data, &l); err != nil {
+	if err := decoding.Unmarshal(data, &l); err != nil {
 		return l, errors.Wrap(err, "decode ledger")
 	}
 	if l.Cap < 0 {
--- a/peer/message.go
+++ b/peer/message.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrongauge.example/citrongauge/codec"
 	"citrongauge.example/citrongauge/result"
 )
 
@@ -67,30 +68,10 @@
 }
 
 var (
-	encMode cbor.EncMode
-	decMode cbor.DecMode
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Limits{Levels: maxNestedLevels, Elements: maxArrayElements, Pairs: maxMapPairs})
 )
 
-func init() {
-	var err error
-	encMode, err = cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	decMode, err = cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		MaxNestedLevels:   maxNestedLevels,
-		MaxArrayElements:  maxArrayElements,
-		MaxMapPairs:       maxMapPairs,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-}
-
 // Encode returns the CBOR encoding of a message body.
 func Encode(body any) ([]byte, error) {
 	return encMode.Marshal(body)
