Use one way to commit a write from outside the control loop

Cause: planned changes and roll-outs each had their own wait for the outcome, and a waiter whose caller gave up stayed. Change: propose uses write; a waiter is dropped when its caller gives up.

--- a/daemon/maintain.go
+++ b/daemon/maintain.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"citrongauge.example/citrongauge/bundle"
 	"citrongauge.example/citrongauge/control"
 	"citrongauge.example/citrongauge/maintenance"
@@ -299,24 +297,7 @@
 func (inc *incarnation) propose(ctx context.Context, mutate func(*control.Record) error) error {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	results := make(chan control.WriteResult, 2)
 	id := newNonce()
-	err := inc.loop.call(ctx, func(time.Time) {
-		inc.loop.waiting[id] = func(r control.WriteResult) { results <- r }
-	})
-	if err != nil {
-		return err
-	}
-	if !inc.loop.post(control.Propose{ID: id, Mutate: mutate}) {
-		return errors.New("the control loop is busy")
-	}
-	select {
-	case r := <-results:
-		if r.Err != nil {
-			return r.Err
-		}
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	_, err := inc.write(ctx, id, control.Propose{ID: id, Mutate: mutate})
+	return err
 }
--- a/daemon/rollout.go
+++ b/daemon/rollout.go
@@ -148,6 +148,7 @@
 		inc.loop.waiting[id] = func(r control.WriteResult) { results <- r }
 	})
 	if err != nil || !inc.loop.post(ev) {
+		go inc.forgetWrite(id)
 		return 0, result.Errorf(result.StoreUnavailable, "the control loop is busy")
 	}
 	select {
@@ -157,10 +158,16 @@
 		}
 		return r.Revision, nil
 	case <-ctx.Done():
+		go inc.forgetWrite(id)
 		return 0, errNoOutcome
 	}
 }
 
+// forgetWrite drops the waiter of a write whose caller has given up.
+func (inc *incarnation) forgetWrite(id string) {
+	_ = inc.loop.call(inc.ctx, func(time.Time) { delete(inc.loop.waiting, id) })
+}
+
 // storeBundle writes the bundle under its version and digest. Nothing is committed by that.
 func (inc *incarnation) storeBundle(ctx context.Context, index *bundle.Index, signed []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, rolloutStoreTimeout)
