capacity: measure control and requests at a given size

scripts/capacity brings up the real daemons with the stand-ins at several sizes and samples processor time, memory, bytes and store calls by role; cgctl capacity makes the bundles, takes the samples and fits lines.

--- a/cmd/cgctl/main.go
+++ b/cmd/cgctl/main.go
@@ -46,7 +46,7 @@
 		Flags:                 globalFlags(),
 		Commands: []*cli.Command{
 			keysCommand(), bundleCommand(), rolloutCommand(), statusCommand(), historyCommand(), explainCommand(),
-			hostCommand(), zoneCommand(), keyCommand(), taskCommand(), standinCommand(),
+			hostCommand(), zoneCommand(), keyCommand(), taskCommand(), standinCommand(), capacityCommand(),
 		},
 	}
 	// The library's own handler prints the help to the output, which may be read as JSON.
--- /dev/null
+++ b/testbed/capacity/markdown.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Markdown returns the report as tables.
+func (r *Report) Markdown() string {
+	var text strings.Builder
+	r.writeMeans(&text)
+	r.writeFits(&text)
+	r.writeRequests(&text)
+	return text.String()
+}
+
+func (r *Report) writeMeans(text *strings.Builder) {
+	text.WriteString("| upstreams / pools / teams / zones / entry hosts | phase | role | samples |")
+	for _, q := range quantities {
+		fmt.Fprintf(text, " %s |", q.name)
+	}
+	text.WriteString(" store calls/s: reads, writes, watches, lists |\n|---|---|---|---|")
+	text.WriteString(strings.Repeat("---|", len(quantities)+1) + "\n")
+	for _, m := range r.Means {
+		phase := string(m.Phase)
+		if m.Rate > 0 {
+			phase += fmt.Sprintf(" %g/s", m.Rate)
+		}
+		fmt.Fprintf(text, "| %s | %s | %s | %d |", m.Size, phase, m.Role, m.Samples)
+		for _, q := range quantities {
+			fmt.Fprintf(text, " %s ± %s |", number(m.Values[q.name]), number(m.Deviations[q.name]))
+		}
+		fmt.Fprintf(text, " %.1f, %.1f, %.1f, %.1f |\n", m.Calls["reads"], m.Calls["writes"], m.Calls["watches"], m.Calls["hosts"])
+	}
+	text.WriteString("\n")
+	for _, m := range r.Means {
+		if m.Role != Plain {
+			continue
+		}
+		fmt.Fprintf(text, "%s, %s %g/s: record %d B, signed bundle %d B", m.Size, m.Phase, m.Rate, m.RecordBytes, m.BundleBytes)
+		if m.Phase == Rollouts {
+			fmt.Fprintf(text, "; %d roll-outs", m.Rollouts)
+			writeTimes(text, "confirmed by all", m.ConfirmedMS)
+			writeTimes(text, "accepted", m.RolloutMS)
+		}
+		text.WriteString("\n")
+	}
+}
+
+func writeTimes(text *strings.Builder, name string, times []int64) {
+	if len(times) == 0 {
+		return
+	}
+	times = slices.Sorted(slices.Values(times))
+	fmt.Fprintf(text, "; %s after the commit: median %d ms, largest %d ms of %d", name, times[len(times)/2], times[len(times)-1], len(times))
+}
+
+func (r *Report) writeFits(text *strings.Builder) {
+	text.WriteString("\n| role at rest | quantity | intercept | per upstream | per team | per link | residual | measured at largest | line there | line without it |\n")
+	text.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, f := range r.Fits {
+		l := f.Line
+		fmt.Fprintf(text, "| %s | %s | %s ± %s |", f.Role, f.Quantity, number(l.Intercept), number(l.InterceptError))
+		for i := range l.Slopes {
+			fmt.Fprintf(text, " %s ± %s |", number(l.Slopes[i]), number(l.SlopeErrors[i]))
+		}
+		fmt.Fprintf(text, " %s | %s | %s | %s |\n", number(l.Residual), number(f.Measured), number(f.Fitted), number(f.Without))
+	}
+}
+
+func (r *Report) writeRequests(text *strings.Builder) {
+	text.WriteString("\n| size | cpu per request, µs | control, µs per second | residual | samples |\n|---|---|---|---|---|\n")
+	for _, f := range r.PerRequest {
+		l := f.Line
+		fmt.Fprintf(text, "| %s | %s ± %s | %s ± %s | %s | %d |\n", f.Size, number(l.Slopes[0]), number(l.SlopeErrors[0]),
+			number(l.Intercept), number(l.InterceptError), number(l.Residual), l.Samples)
+	}
+}
+
+// String returns the size in the order of the table's heading.
+func (s Size) String() string {
+	return fmt.Sprintf("%d / %d / %d / %d / %d", s.Upstreams, s.Pools, s.Teams, s.Zones, s.EntryHosts)
+}
+
+func number(v float64) string { return fmt.Sprintf("%.3g", v) }
