--- a/testbed/capacity/sample.go
+++ b/testbed/capacity/sample.go
@@ -74,8 +74,8 @@
 	RolloutMS []int64 `json:"rollout_ms,omitempty"`
 	// ConfirmedMS holds the times from the commit until the host that took the roll-out knew that all had confirmed it.
 	ConfirmedMS []int64        `json:"confirmed_ms,omitempty"`
-	Answers   map[string]int `json:"answers,omitempty"` // requests by result code
-	Hosts     []HostSample   `json:"hosts"`
+	Answers     map[string]int `json:"answers,omitempty"` // requests by result code
+	Hosts       []HostSample   `json:"hosts"`
 }
 
 // Phase is what happens in a window besides control.
