--- a/cmd/cgctl/capacity.go
+++ b/cmd/cgctl/capacity.go
@@ -42,6 +42,7 @@
 					&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "`TIME` to measure"},
 					&cli.DurationFlag{Name: "rollout-every", Usage: "roll out a new version after every `TIME`"},
 					&cli.FloatFlag{Name: "requests", Usage: "`RATE` of requests per second, over all entry hosts"},
+					&cli.DurationFlag{Name: "run-time", Value: 20 * time.Millisecond, Usage: "`TIME` that each request runs"},
 					&cli.StringFlag{Name: "keys", Usage: "`FILE` with the keys of the teams"},
 					&cli.StringFlag{Name: "out", Required: true, Usage: "`FILE` that the result is appended to"},
 				}, sizes...),
@@ -103,7 +104,7 @@
 		if err := readJSON(cmd.String("keys"), &keys); err != nil {
 			return err
 		}
-		w, err = sampler.SampleRequests(ctx, keys, cmd.Float("requests"))
+		w, err = sampler.SampleRequests(ctx, keys, cmd.Float("requests"), cmd.Duration("run-time"))
 	default:
 		w, err = sampler.Sample(ctx)
 	}
--- a/testbed/capacity/drive.go
+++ b/testbed/capacity/drive.go
@@ -24,7 +24,6 @@
 	// warmUp is the time for which the load runs before it is measured, so that grants have settled.
 	warmUp         = 4 * time.Second
 	requestTimeout = 15 * time.Second
-	requestRunMS   = 20
 	requestPayload = 256
 	maxAnswerBytes = 1 << 20
 	// unanswered is the result code in the report of requests without an answer.
@@ -141,9 +140,10 @@
 	}
 }
 
-// SampleRequests measures a window with the given rate of requests, spread over all entry hosts.
-func (s *Sampler) SampleRequests(ctx context.Context, keys map[string]string, rate float64) (*Window, error) {
-	l := &loader{hosts: s.Hosts, rate: rate, queues: s.Size.Pools - 1, answers: make(map[string]int)}
+// SampleRequests measures a window with the given rate of requests, spread over all entry hosts, each of which runs for
+// the given time.
+func (s *Sampler) SampleRequests(ctx context.Context, keys map[string]string, rate float64, run time.Duration) (*Window, error) {
+	l := &loader{hosts: s.Hosts, rate: rate, runMS: run.Milliseconds(), queues: s.Size.Pools - 1, answers: make(map[string]int)}
 	for _, key := range keys {
 		l.keys = append(l.keys, key)
 	}
@@ -156,7 +156,7 @@
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-time.After(warmUp):
+	case <-time.After(warmUp + run):
 	}
 	w, err := s.Sample(ctx)
 	stop()
@@ -164,7 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.Phase, w.Rate, w.Answers = Requests, rate, l.answers
+	w.Phase, w.Rate, w.RunMS, w.Answers = Requests, rate, l.runMS, l.answers
 	return w, nil
 }
 
@@ -174,6 +174,7 @@
 	keys   []string
 	queues int
 	rate   float64
+	runMS  int64
 	client *http.Client
 
 	mu      sync.Mutex
@@ -204,7 +205,7 @@
 // send sends one request and returns its result code. Running requests end after the load was stopped.
 func (l *loader) send(h Host, idempotent bool) string {
 	body, err := json.Marshal(api.Submission{
-		Payload: make([]byte, requestPayload), Idempotent: idempotent, Slots: 1, RunMS: requestRunMS,
+		Payload: make([]byte, requestPayload), Idempotent: idempotent, Slots: 1, RunMS: l.runMS,
 		DeadlineMS: requestTimeout.Milliseconds(),
 	})
 	if err != nil {
--- a/testbed/capacity/fit.go
+++ b/testbed/capacity/fit.go
@@ -10,7 +10,7 @@
 type Line struct {
 	Intercept float64   `json:"intercept"`
 	Slopes    []float64 `json:"slopes"`
-	// InterceptError and SlopeErrors are the standard errors; NaN-free: 0 if there are no degrees of freedom.
+	// InterceptError and SlopeErrors are the standard errors, 0 if there are no degrees of freedom.
 	InterceptError float64   `json:"intercept_error"`
 	SlopeErrors    []float64 `json:"slope_errors"`
 	// Residual is the standard deviation of the samples around the line.
--- a/testbed/capacity/markdown.go
+++ b/testbed/capacity/markdown.go
@@ -27,6 +27,9 @@
 		if m.Rate > 0 {
 			phase += fmt.Sprintf(" %g/s", m.Rate)
 		}
+		if m.RunMS > 0 {
+			phase += fmt.Sprintf(" of %d ms", m.RunMS)
+		}
 		fmt.Fprintf(text, "| %s | %s | %s | %d |", m.Size, phase, m.Role, m.Samples)
 		for _, q := range quantities {
 			fmt.Fprintf(text, " %s ± %s |", number(m.Values[q.name]), number(m.Deviations[q.name]))
@@ -70,10 +73,10 @@
 }
 
 func (r *Report) writeRequests(text *strings.Builder) {
-	text.WriteString("\n| size | cpu per request, µs | control, µs per second | residual | samples |\n|---|---|---|---|---|\n")
+	text.WriteString("\n| size | quantity | per request | control, µs per second | residual | samples |\n|---|---|---|---|---|---|\n")
 	for _, f := range r.PerRequest {
 		l := f.Line
-		fmt.Fprintf(text, "| %s | %s ± %s | %s ± %s | %s | %d |\n", f.Size, number(l.Slopes[0]), number(l.SlopeErrors[0]),
+		fmt.Fprintf(text, "| %s | %s | %s ± %s | %s ± %s | %s | %d |\n", f.Size, f.Quantity, number(l.Slopes[0]), number(l.SlopeErrors[0]),
 			number(l.Intercept), number(l.InterceptError), number(l.Residual), l.Samples)
 	}
 }
--- a/testbed/capacity/report.go
+++ b/testbed/capacity/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -12,7 +13,7 @@
 type Report struct {
 	Means []Mean `json:"means"`
 	Fits  []Fit  `json:"fits"`
-	// PerRequest is the processor time of a request in microseconds, by size.
+	// PerRequest is the processor time of a request in microseconds, by size and run time.
 	PerRequest []Fit `json:"per_request"`
 }
 
@@ -21,6 +22,7 @@
 	Size
 	Phase       Phase              `json:"phase"`
 	Rate        float64            `json:"rate"`
+	RunMS       int64              `json:"run_ms,omitempty"`
 	Role        Role               `json:"role"`
 	Samples     int                `json:"samples"`
 	Values      map[string]float64 `json:"values"`
@@ -97,6 +99,7 @@
 	Size
 	phase Phase
 	rate  float64
+	runMS int64
 	role  Role
 }
 
@@ -133,11 +136,11 @@
 	sources := make(map[meanKey][]Window)
 	for _, w := range windows {
 		for _, h := range w.Hosts {
-			key := meanKey{w.Size, w.Phase, w.Rate, h.Role}
+			key := meanKey{w.Size, w.Phase, w.Rate, w.RunMS, h.Role}
 			groups[key] = append(groups[key], h)
 		}
 		for _, role := range []Role{Plain, Relay, Planner} {
-			key := meanKey{w.Size, w.Phase, w.Rate, role}
+			key := meanKey{w.Size, w.Phase, w.Rate, w.RunMS, role}
 			sources[key] = append(sources[key], w)
 		}
 	}
@@ -150,7 +153,7 @@
 }
 
 func newMean(key meanKey, samples []HostSample, windows []Window) Mean {
-	m := Mean{Size: key.Size, Phase: key.phase, Rate: key.rate, Role: key.role, Samples: len(samples),
+	m := Mean{Size: key.Size, Phase: key.phase, Rate: key.rate, RunMS: key.runMS, Role: key.role, Samples: len(samples),
 		Values: make(map[string]float64), Deviations: make(map[string]float64), Calls: make(map[string]float64)}
 	for _, q := range quantities {
 		values := make([]float64, len(samples))
@@ -172,8 +175,8 @@
 }
 
 func (m Mean) before(o Mean) bool {
-	a := [...]float64{phaseOrder(m.Phase), float64(m.Upstreams), float64(m.Teams), float64(m.EntryHosts), m.Rate, roleOrder(m.Role)}
-	b := [...]float64{phaseOrder(o.Phase), float64(o.Upstreams), float64(o.Teams), float64(o.EntryHosts), o.Rate, roleOrder(o.Role)}
+	a := [...]float64{phaseOrder(m.Phase), float64(m.Upstreams), float64(m.Teams), float64(m.EntryHosts), m.Rate, float64(m.RunMS), roleOrder(m.Role)}
+	b := [...]float64{phaseOrder(o.Phase), float64(o.Upstreams), float64(o.Teams), float64(o.EntryHosts), o.Rate, float64(o.RunMS), roleOrder(o.Role)}
 	for i := range a {
 		if a[i] != b[i] {
 			return a[i] < b[i]
@@ -226,36 +229,36 @@
 	return fit, nil
 }
 
-// perRequest fits each host's processor time to its rate of requests, at each size, in microseconds per request.
+// perRequest fits each plain host's processor time to its rate of requests, in microseconds per request, for each size
+// and run time. The windows at rest count for every run time.
 func perRequest(windows []Window) []Fit {
-	type samples struct {
-		x [][]float64
-		y []float64
+	type kind struct {
+		Size
+		runMS int64
 	}
-	bySize := make(map[Size]*samples)
-	loaded := make(map[Size]bool)
+	var kinds []kind
 	for _, w := range windows {
-		if w.Phase == Rollouts {
-			continue
+		if k := (kind{w.Size, w.RunMS}); w.Phase == Requests && !slices.Contains(kinds, k) {
+			kinds = append(kinds, k)
 		}
-		loaded[w.Size] = loaded[w.Size] || w.Phase == Requests
-		for _, h := range w.Hosts {
-			if h.Role == Planner {
+	}
+	var fits []Fit
+	for _, k := range kinds {
+		var x [][]float64
+		var y []float64
+		for _, w := range windows {
+			if w.Size != k.Size || w.Phase == Rollouts || w.Phase == Requests && w.RunMS != k.runMS {
 				continue
 			}
-			if bySize[w.Size] == nil {
-				bySize[w.Size] = &samples{}
+			for _, h := range w.Hosts {
+				if h.Role == Plain {
+					x, y = append(x, []float64{h.Requests}), append(y, 1e6*h.CPU)
+				}
 			}
-			s := bySize[w.Size]
-			s.x, s.y = append(s.x, []float64{h.Requests}), append(s.y, 1e6*h.CPU)
 		}
-	}
-	var fits []Fit
-	for size, s := range bySize {
-		if line, err := FitLine(s.x, s.y); err == nil && loaded[size] {
-			fits = append(fits, Fit{Role: Plain, Quantity: "cpu µs per request", Line: line, Size: size})
+		if line, err := FitLine(x, y); err == nil {
+			fits = append(fits, Fit{Role: Plain, Quantity: fmt.Sprintf("cpu µs per request of %d ms", k.runMS), Line: line, Size: k.Size})
 		}
 	}
-	sort.Slice(fits, func(i, j int) bool { return fits[i].Upstreams < fits[j].Upstreams })
 	return fits
 }
--- a/testbed/capacity/sample.go
+++ b/testbed/capacity/sample.go
@@ -63,7 +63,8 @@
 type Window struct {
 	Size
 	Phase   Phase   `json:"phase"`
-	Rate    float64 `json:"rate,omitempty"` // requests or roll-outs per second that were asked for
+	Rate    float64 `json:"rate,omitempty"`   // requests or roll-outs per second that were asked for
+	RunMS   int64   `json:"run_ms,omitempty"` // how long each request runs
 	Seconds float64 `json:"seconds"`
 	// Calls are the calls that the platform counted, per second.
 	Calls       map[string]float64 `json:"calls_per_s"`
