control: relays fetch an announced record at once

Ruled out: asking at once on every host; the record would cross the zones several times. Change: relays ask the first one that announces it.

--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -171,10 +171,11 @@
 	}
 }
 
-// noteHigher asks a peer that announced a higher revision for it. Peers outside the own zone are asked at the
-// next tick, so that the record normally crosses zones only once.
+// noteHigher asks a peer that announced a higher revision for it. A relay asks the first one at once: waiting for the
+// next tick costs more than the round trips between zones. Other hosts wait for their relay, so that the record
+// normally crosses zones only once.
 func (c *Core) noteHigher(now time.Time, from Member) {
-	if from.Zone == c.opts.Self.Zone || c.rec == nil {
+	if from.Zone == c.opts.Self.Zone || c.rec == nil || c.relay {
 		c.want(now, from)
 		return
 	}
