--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -23,7 +23,7 @@
 	preemptInterval    = 100 * time.Millisecond
 )
 
-// incarnation is one membership of this process in the fleet. A host that was evicted while it was paused comes back
+// incarnation is one membership of this process in the fleet. A host that was evicted and cleared comes back
 // as a new incarnation: its old grants and request IDs belong to the old one and end with it.
 type incarnation struct {
 	d    *Daemon
