Decide on grants once a second at rest

Cause: grant decisions for 76 teams are made 4 times a second on every idle host. Ruled out: a longer interval while something waits here or another host lacks slots; that delays work. Change: one second at rest, 50 ms as soon as something waits here or is reported unmet.

--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -49,7 +49,7 @@
 	// runningMu guards running, the dispatched tasks.
 	runningMu sync.Mutex
 	running   map[*runningTask]struct{}
-	nextAt    time.Time // next grant tick, on the control goroutine
+	grantsAt  time.Time // last grant decisions, on the control goroutine
 	tellAt    time.Time // next report of load, on the control goroutine
 	capAt     time.Time // next comparison with lowered caps, on the control goroutine
 	evicted   sync.Once
@@ -136,8 +136,8 @@
 
 // tick runs on the control goroutine.
 func (inc *incarnation) tick(now time.Time) {
-	if now.After(inc.nextAt) {
-		inc.nextAt = now.Add(inc.grantInterval())
+	if now.Sub(inc.grantsAt) >= inc.grantInterval(now) {
+		inc.grantsAt = now
 		inc.stepGrants(now, grant.Demand{Teams: inc.demand()})
 		inc.stepGrants(now, grant.PeerDemand{Teams: inc.loads.peerUse(now)})
 		inc.stepGrants(now, grant.Tick{FreshAt: inc.loop.core.FreshAt()})
@@ -153,12 +153,12 @@
 	}
 }
 
-// restGrantInterval is the interval of grant decisions while nothing waits. They are the largest part of an idle
-// host's work at the size of many teams.
-const restGrantInterval = 250 * time.Millisecond
+// restGrantInterval is the interval of grant decisions while nothing waits here or elsewhere. They are the largest part
+// of an idle host's work at the size of many teams.
+const restGrantInterval = time.Second
 
-func (inc *incarnation) grantInterval() time.Duration {
-	if inc.scheduler.HasWaiting() {
+func (inc *incarnation) grantInterval(now time.Time) time.Duration {
+	if inc.scheduler.HasWaiting() || inc.loads.hasUnmet(now) {
 		return grant.TickInterval
 	}
 	return restGrantInterval
--- a/daemon/loads.go
+++ b/daemon/loads.go
@@ -179,6 +179,23 @@
 	return sumTeams(teams...)
 }
 
+// hasUnmet states whether another host lacks slots of a grant.
+func (b *loadBook) hasUnmet(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(now)
+	for _, reports := range []map[string]loadReport{b.hosts, b.zones} {
+		for _, r := range reports {
+			for _, use := range r.teams {
+				if use.Unmet > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func sumTeams(lists ...map[string]grant.PeerUse) map[string]grant.PeerUse {
 	sum := make(map[string]grant.PeerUse)
 	for _, list := range lists {
