Decide on grants every 250 ms at rest again

Cause: with one decision a second at rest the fleet at the target size made 221 to 241 store reads a second instead of 17, in the same two windows in which the processor time was measured. Ruled out: keeping it for 0.1 points of processor time. Change: 250 ms again; decisions still come every 50 ms as soon as something waits here or elsewhere.

--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -155,7 +155,7 @@
 
 // restGrantInterval is the interval of grant decisions while nothing waits here or elsewhere. They are the largest part
 // of an idle host's work at the size of many teams.
-const restGrantInterval = time.Second
+const restGrantInterval = 250 * time.Millisecond
 
 func (inc *incarnation) grantInterval(now time.Time) time.Duration {
 	if inc.scheduler.HasWaiting() || inc.loads.hasUnmet(now) {
