Give every host a grant before the store outage of the test

One host answered no request at all: it had no grant yet when the store went down, 1.5 s after the load began on a machine that was compiling. Without a store a host cannot get a grant; that is the documented behaviour. Ruled out: a loss of grants in the outage; the other hosts answered throughout. This is read from the counts; the run kept no logs. Change: each host answers one request first. The checks during the outage are the same. Conclusion: the precondition that the test assumed is now made certain.

--- a/cmd/citrongauge/process_test.go
+++ b/cmd/citrongauge/process_test.go
@@ -285,8 +285,14 @@
 func TestStoreOutage(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 3, 1, 2, nil)
+	for _, h := range f.hosts {
+		// A host that has served a request of the team has a grant, within which it goes on.
+		a, err := f.post(h, f.teamKeys["blue"], "work", api.Submission{RunMS: 20}, "")
+		is.NoErr(err)
+		is.Equal(a.Code, result.OK)
+	}
 	l := f.startLoad(api.Submission{RunMS: 20, DeadlineMS: 10000})
-	time.Sleep(1500 * time.Millisecond) // the hosts have grants by then
+	time.Sleep(1500 * time.Millisecond)
 	f.must(f.platform.SetFaults(standin.PlatformFaults{Outage: true}))
 	time.Sleep(5 * time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
