Use one conversion of errors to result codes and one list of caps

Cause: the read of the whole change found the same conversion in control and daemon, and daemon computed the caps that grant.CapsOf returns. Ruled out: sending grant.Leave now; it changes the shutdown and needs a test of its own. Conclusion: behaviour is unchanged.

--- a/control/writer.go
+++ b/control/writer.go
@@ -78,7 +78,7 @@
 	w := &write{id: ev.ID, bundle: ev.Bundle, repeatable: true}
 	info, err := c.opts.VerifyBundle(ev.Version, ev.Digest, ev.Bundle)
 	if err != nil {
-		c.report(w, asResult(err, result.SignatureInvalid))
+		c.report(w, result.As(err, result.SignatureInvalid))
 		return
 	}
 	w.mutate = func(r *Record) error { return rollOut(r, ev, info) }
@@ -100,14 +100,6 @@
 	return nil
 }
 
-func asResult(err error, code result.Code) *result.Error {
-	var numbered *result.Error
-	if errors.As(err, &numbered) {
-		return numbered
-	}
-	return result.Errorf(code, "%v", err)
-}
-
 // report sends the outcome of a write from outside. Only an unresolved one may be reported twice.
 func (c *Core) report(w *write, err *result.Error) {
 	if w.id == "" {
@@ -180,7 +172,7 @@
 		err = result.Errorf(result.RolloutUnresolved, "an earlier attempt may have been committed: %v", err)
 	}
 	if err != nil {
-		c.report(w, asResult(err, result.RolloutConflict))
+		c.report(w, result.As(err, result.RolloutConflict))
 		return false
 	}
 	c.writer.attempt = &attempt{write: w, base: c.store.revision, record: next}
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -60,7 +60,7 @@
 	}
 	ids, err := inc.issuer.Issue(time.Now(), st.record, count)
 	if err != nil {
-		return nil, asResult(err)
+		return nil, result.As(err, result.RequestMalformed)
 	}
 	return ids, nil
 }
@@ -74,7 +74,7 @@
 	}
 	id, err := requestid.Parse(s.RequestID, d.secret)
 	if err != nil {
-		return inc.answerOf(s.RequestID, outcomeOf(asResult(err)))
+		return inc.answerOf(s.RequestID, outcomeOf(result.As(err, result.RequestMalformed)))
 	}
 	if id.Issuer == inc.self.ID {
 		return inc.submitOwn(ctx, id, m)
@@ -112,7 +112,7 @@
 	}
 	entry, first, err := inc.table.Begin(time.Now(), id, m.digest())
 	if err != nil {
-		return inc.answerOf(id.String(), outcomeOf(asResult(err)))
+		return inc.answerOf(id.String(), outcomeOf(result.As(err, result.RequestMalformed)))
 	}
 	switch {
 	case first && refusal != nil:
@@ -282,7 +282,7 @@
 func (inc *incarnation) lookup(ctx context.Context, m forwardMessage) api.Answer {
 	id, err := requestid.Parse(m.RequestID, inc.d.secret)
 	if err != nil {
-		return api.AnswerOf(asResult(err))
+		return api.AnswerOf(result.As(err, result.RequestMalformed))
 	}
 	st, permission := inc.current()
 	if st == nil {
@@ -304,7 +304,7 @@
 	}
 	entry, err := find(time.Now(), id)
 	if err != nil {
-		return inc.answerOf(m.RequestID, outcomeOf(asResult(err)))
+		return inc.answerOf(m.RequestID, outcomeOf(result.As(err, result.RequestMalformed)))
 	}
 	if entry == nil {
 		return inc.answerOf(m.RequestID, requestid.Outcome{Code: result.Pending, Detail: "not submitted yet"})
--- a/daemon/enforce.go
+++ b/daemon/enforce.go
@@ -120,8 +120,8 @@
 	return w == bundle.WorkStop || w == bundle.WorkCheckpoint
 }
 
-// leave shuts the incarnation down gracefully: no new work, running work ends, grants and the place in the roster are
-// given back. It returns when that is done or ctx ends.
+// leave shuts the incarnation down gracefully: no new work, running work ends, the place in the roster is given
+// back. The others reclaim its grants. It returns when that is done or ctx ends.
 func (inc *incarnation) leave(ctx context.Context) {
 	inc.scheduler.Drain()
 	inc.waitForTasks(ctx)
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -157,12 +157,3 @@
 }
 
 var _ dispatch.Gate = (*gate)(nil)
-
-// grantCaps returns the cap of each team for the grant manager.
-func grantCaps(s *state) map[string]int {
-	caps := make(map[string]int, len(s.index.Bundle.Teams))
-	for _, team := range s.index.Bundle.Teams {
-		caps[team.Name] = team.Cap
-	}
-	return caps
-}
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -122,7 +122,7 @@
 	}
 	inc.d.table.Update(s.record, s.index.Bundle, now)
 	inc.scheduler.Configure(schedulerConfig(s))
-	inc.stepGrants(now, grant.Config{Record: s.record, Caps: grantCaps(s)})
+	inc.stepGrants(now, grant.Config{Record: s.record, Caps: grant.CapsOf(s.index.Bundle)})
 	inc.d.metrics.adopted(s)
 	inc.enforce(s)
 	clear(inc.sentLoads) // neighbours and numbers may have changed
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -137,7 +137,7 @@
 func (inc *incarnation) answerForward(ctx context.Context, m forwardMessage) api.Answer {
 	id, err := requestid.Parse(m.RequestID, inc.d.secret)
 	if err != nil {
-		return api.AnswerOf(asResult(err))
+		return api.AnswerOf(result.As(err, result.RequestMalformed))
 	}
 	if id.Issuer != inc.self.ID {
 		return inc.answerOf(m.RequestID, requestid.Outcome{Code: result.OwnerUnreachable})
--- a/daemon/tasks.go
+++ b/daemon/tasks.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"citrongauge.example/citrongauge/admission"
 	"citrongauge.example/citrongauge/api"
 	"citrongauge.example/citrongauge/bundle"
@@ -50,7 +48,7 @@
 		return nil, err
 	}
 	if err := inc.d.table.TooLarge(r.queue.Pool, s.Size()); err != nil {
-		return nil, asResult(err)
+		return nil, result.As(err, result.RequestMalformed)
 	}
 	if !permission.OK {
 		return nil, result.Errorf(result.NoPermission, "%s", permission.Reason)
@@ -97,14 +95,6 @@
 	return nil
 }
 
-func asResult(err error) *result.Error {
-	var numbered *result.Error
-	if errors.As(err, &numbered) {
-		return numbered
-	}
-	return result.Errorf(result.RequestMalformed, "%v", err)
-}
-
 // run takes a request through queue and dispatch until its outcome is known.
 func (inc *incarnation) run(ctx context.Context, id requestid.ID, r *request) requestid.Outcome {
 	ticket, refusal := inc.scheduler.Enqueue(time.Now(), admission.Request{
--- a/result/result.go
+++ b/result/result.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Code is a numbered result code.
@@ -152,3 +154,12 @@
 func Errorf(code Code, format string, args ...any) *Error {
 	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
 }
+
+// As returns err as an Error; an error without a code gets the given one. err must not be nil.
+func As(err error, code Code) *Error {
+	var numbered *Error
+	if errors.As(err, &numbered) {
+		return numbered
+	}
+	return Errorf(code, "%v", err)
+}
