Add the job core and the adapter to the users' platform

Cause: the users' platform brings leases, watches, transactions and fences at upstreams; the product has no jobs of steps and tasks, and speaks none of the platform's protocols. Change: platform/ decodes the wire; job, schedule, ledger, owner, operator and entry run jobs; 'citrongauge entry' is the daemon.

--- a/cmd/citrongauge/main.go
+++ b/cmd/citrongauge/main.go
@@ -9,9 +9,12 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"citrongauge.example/citrongauge/daemon"
+	"citrongauge.example/citrongauge/entry"
+	"citrongauge.example/citrongauge/platform"
 )
 
 func main() {
@@ -20,11 +23,23 @@
 		Usage:   "entry host daemon of the fleet capacity and maintenance manager",
 		Version: daemon.Version,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings, print them with defaults, and exit"},
 		},
 		EnableShellCompletion: true,
 		Action:                run,
+		Commands: []*cli.Command{{
+			Name:  "entry",
+			Usage: "run as an entry host on the platform; the settings file is the platform's",
+			Flags: []cli.Flag{
+				&cli.StringFlag{
+					Name: "settings", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable),
+					Required: true,
+				},
+				&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			},
+			Action: runEntry,
+		}},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "citrongauge:", err)
@@ -32,8 +47,21 @@
 	}
 }
 
+func runEntry(_ context.Context, command *cli.Command) error {
+	settings, err := platform.LoadSettings(command.String("settings"))
+	if err != nil || command.Bool("check") {
+		return err
+	}
+	ctx, _ := shutdownContexts()
+	return entry.New(settings, os.Stdout).Run(ctx)
+}
+
 func run(_ context.Context, command *cli.Command) error {
-	settings, err := daemon.LoadSettings(command.String("settings"))
+	path := command.String("settings")
+	if path == "" {
+		return errors.New("--settings FILE is required")
+	}
+	settings, err := daemon.LoadSettings(path)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"citrongauge.example/citrongauge/eventlog"
+	"citrongauge.example/citrongauge/ledger"
+	"citrongauge.example/citrongauge/operator"
+	"citrongauge.example/citrongauge/owner"
+	"citrongauge.example/citrongauge/platform"
+)
+
+const (
+	// memoryShare of the machine's memory is the target of the garbage collector; the rest is for buffers of the
+	// kernel, which count as well.
+	memoryShare = 0.6
+	// rotationOut is how long a stopping host goes on accepting connections: the balancer notices after two misses of
+	// its probe, one a second.
+	rotationOut = 2500 * time.Millisecond
+	// stopReserve is the end of the grace period that is kept for the exit.
+	stopReserve = 700 * time.Millisecond
+	// notReadyAfter is how long the store may be silent before the host asks for no more connections.
+	notReadyAfter = 3 * time.Second
+	headerTimeout = 10 * time.Second
+	keepAliveIdle = 60 * time.Second
+)
+
+// Host is an entry host.
+type Host struct {
+	settings platform.Settings
+	log      *eventlog.Log
+	metrics  *metrics
+	operator *operator.Follower
+	owner    *owner.Owner
+	server   *server
+	draining atomic.Bool
+}
+
+// New returns a host that does nothing until Run. Its log goes to logs.
+func New(settings platform.Settings, logs io.Writer) *Host {
+	log := eventlog.New(logs)
+	h := &Host{settings: settings, log: log, metrics: newMetrics(log.Dropped)}
+	process := processID()
+	event := func(name string, fields ...any) { log.Event(name, append(fields, "host", settings.Host)...) }
+	kv := platform.NewKV(settings.Store.Address, h.metrics.platformCall)
+	records := ledger.New(kv)
+	h.operator = operator.New(kv, event)
+	options := owner.Options{
+		Host: settings.Host, Process: process, Settings: settings, KV: kv, Ledger: records, Operator: h.operator,
+		Upstreams: platform.NewUpstreams(), Observe: h.metrics, Log: event,
+	}
+	if settings.Machines != "" {
+		options.Machines = platform.NewMachines(settings.Machines, h.metrics.platformCall)
+	}
+	if settings.Advice != "" {
+		options.Advice = platform.NewAdvice(settings.Advice, h.metrics.platformCall)
+	}
+	h.owner = owner.New(options)
+	h.server = &server{
+		host: settings.Host, ledger: records, operator: h.operator, metrics: h.metrics, log: event,
+		draining: h.draining.Load,
+	}
+	return h
+}
+
+// processID returns a text that differs between lives of a process.
+func processID() string {
+	var id [8]byte
+	if _, err := rand.Read(id[:]); err != nil {
+		panic(err) // never returned on Linux
+	}
+	return hex.EncodeToString(id[:])
+}
+
+// Run serves until ctx ends, and then finishes what is on its way within the platform's grace period.
+func (h *Host) Run(ctx context.Context) error {
+	defer h.log.Close()
+	limitMemory(h.settings.MemoryMB)
+	h.log.Event("start", "host", h.settings.Host, "zone", h.settings.Zone, "callers", h.settings.Listen.Callers,
+		"store", h.settings.Store.Address, "memory_mb", h.settings.MemoryMB)
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	servers, err := h.serve()
+	if err != nil {
+		h.log.Error("not started", "error", err)
+		return err
+	}
+	go h.operator.Run(work)
+	owning, stopOwning := context.WithCancel(work)
+	owned := make(chan struct{})
+	go func() {
+		defer close(owned)
+		h.owner.Run(owning)
+	}()
+	<-ctx.Done()
+	h.log.Event("stop", "host", h.settings.Host, "owner", h.owner.Owning(), "grace_ms", h.settings.Bounds.Grace.Milliseconds())
+	h.draining.Store(true)
+	stopOwning()
+	h.shutdown(servers)
+	<-owned
+	return nil
+}
+
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+	}
+}
+
+// serve starts the listeners for clients, readiness and metrics.
+func (h *Host) serve() ([]*http.Server, error) {
+	readiness := mux.NewRouter()
+	readiness.HandleFunc(platform.ReadinessPath, h.ready)
+	metrics := mux.NewRouter()
+	metrics.Handle("/metrics", promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
+	listeners := []struct {
+		address string
+		handler http.Handler
+	}{
+		{h.settings.Listen.Callers, h.server},
+		{h.settings.Listen.Readiness, readiness},
+		{net.JoinHostPort(h.settings.Listen.IP, strconv.Itoa(h.settings.Listen.Internal)), metrics},
+	}
+	var servers []*http.Server
+	for _, l := range listeners {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", l.address)
+		}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAliveIdle}
+		servers = append(servers, server)
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				h.log.Error("listener ended", "address", l.address, "error", err)
+			}
+		}()
+	}
+	return servers, nil
+}
+
+// ready answers the balancer's probe.
+func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
+	if h.draining.Load() || h.operator.State().Bundle == nil || h.operator.Age() > notReadyAfter {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// shutdown leaves the balancer's rotation, then closes the listeners and waits for calls that are being answered.
+func (h *Host) shutdown(servers []*http.Server) {
+	deadline := time.Now().Add(h.settings.Bounds.Grace - stopReserve)
+	time.Sleep(min(rotationOut, h.settings.Bounds.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			h.log.Error("shutdown cut short", "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/job/job.go
@@ -0,0 +1,210 @@
+// Package job defines the unit of work: a job of steps, each of which has a number of equal tasks, and the progress
+// that is recorded for it. It holds types and their durable encoding, and takes no decisions.
+package job
+
+import (
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ID is a job's identifier, chosen by the client: 16 hexadecimal digits.
+type ID string
+
+// idLength is the number of hexadecimal digits of an ID.
+const idLength = 16
+
+// ErrBadID is returned for an ID that is not 16 hexadecimal digits.
+var ErrBadID = errors.New("job ID is not 16 hexadecimal digits")
+
+// ParseID checks text and returns it as an ID.
+func ParseID(text string) (ID, error) {
+	if len(text) != idLength {
+		return "", ErrBadID
+	}
+	if _, err := hex.DecodeString(text); err != nil {
+		return "", ErrBadID
+	}
+	return ID(text), nil
+}
+
+// Resources is an amount of room on an upstream, or of a team's cap.
+type Resources struct {
+	MilliCPU int64 `cbor:"1,keyasint,omitempty"` // thousandths of a core
+	MemoryMB int64 `cbor:"2,keyasint,omitempty"`
+	GPU      int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns the sum of r and other.
+func (r Resources) Add(other Resources) Resources {
+	return Resources{r.MilliCPU + other.MilliCPU, r.MemoryMB + other.MemoryMB, r.GPU + other.GPU}
+}
+
+// Sub returns r less other.
+func (r Resources) Sub(other Resources) Resources {
+	return Resources{r.MilliCPU - other.MilliCPU, r.MemoryMB - other.MemoryMB, r.GPU - other.GPU}
+}
+
+// Fits reports whether r is at most room in each dimension.
+func (r Resources) Fits(room Resources) bool {
+	return r.MilliCPU <= room.MilliCPU && r.MemoryMB <= room.MemoryMB && r.GPU <= room.GPU
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count     int           `cbor:"1,keyasint"`
+	Request   Resources     `cbor:"2,keyasint"` // of one task
+	Estimate  time.Duration `cbor:"3,keyasint,omitempty"`
+	After     []int         `cbor:"4,keyasint,omitempty"` // earlier steps that must be done first
+	Image     string        `cbor:"5,keyasint,omitempty"`
+	Label     string        `cbor:"6,keyasint,omitempty"` // an upstream without it must not run the task
+	Rack      string        `cbor:"7,keyasint,omitempty"` // where the data is
+	PerHost   int           `cbor:"8,keyasint,omitempty"` // most tasks of one occurrence on one upstream; 0: any
+	TailLimit time.Duration `cbor:"9,keyasint,omitempty"` // bound on the tail latency of a serving task
+
+	Checkpoints bool `cbor:"10,keyasint,omitempty"`
+	Gang        bool `cbor:"11,keyasint,omitempty"` // the tasks work only together
+	SameRack    bool `cbor:"12,keyasint,omitempty"`
+	Speculative bool `cbor:"13,keyasint,omitempty"` // copies may run in parallel
+	LongRunning bool `cbor:"14,keyasint,omitempty"` // runs until the job is cancelled
+	// Fills is set for tasks that use only processor time that others leave; their processor request does not count
+	// against an upstream's capacity.
+	Fills bool `cbor:"15,keyasint,omitempty"`
+	// MayMiss is the number of tasks of a long-running step that planned actions may keep away at the same time.
+	MayMiss int `cbor:"16,keyasint,omitempty"`
+}
+
+// Room returns what one task of the step takes of an upstream's capacity.
+func (s Step) Room() Resources {
+	room := s.Request
+	if s.Fills {
+		room.MilliCPU = 0
+	}
+	return room
+}
+
+// Queue holds what a job keeps of the queue that it came in by. The terms of the newest bundle replace it while the
+// queue exists.
+type Queue struct {
+	Name          string        `cbor:"1,keyasint"`
+	Pool          string        `cbor:"2,keyasint"`
+	Priority      int           `cbor:"3,keyasint,omitempty"` // 0 is the most urgent
+	MaxAttempts   int           `cbor:"4,keyasint,omitempty"`
+	Stretch       float64       `cbor:"5,keyasint,omitempty"`
+	TargetLatency time.Duration `cbor:"6,keyasint,omitempty"`
+	Advised       bool          `cbor:"7,keyasint,omitempty"` // only advised upstreams may run its steps
+}
+
+// Job is a job as submitted. It never changes.
+type Job struct {
+	ID         ID            `cbor:"1,keyasint"`
+	Team       string        `cbor:"2,keyasint"`
+	Queue      Queue         `cbor:"3,keyasint"`
+	Spec       string        `cbor:"4,keyasint,omitempty"`
+	Steps      []Step        `cbor:"5,keyasint"`
+	Repeat     int           `cbor:"6,keyasint,omitempty"` // number of occurrences; 0: one without a time
+	StartMS    int64         `cbor:"7,keyasint,omitempty"` // due time of occurrence 0, Unix milliseconds
+	Interval   time.Duration `cbor:"8,keyasint,omitempty"`
+	AcceptedMS int64         `cbor:"9,keyasint"` // Unix milliseconds by the clock of the host that accepted it
+}
+
+// Occurrences returns how many times the steps run.
+func (j *Job) Occurrences() int { return max(j.Repeat, 1) }
+
+// LongRunning reports whether the job runs until it is cancelled.
+func (j *Job) LongRunning() bool {
+	for _, step := range j.Steps {
+		if step.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the task's name on the wire: ID.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	buffer := make([]byte, 0, 32)
+	buffer = append(buffer, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		buffer = append(buffer, '.')
+		buffer = strconv.AppendInt(buffer, int64(n), 10)
+	}
+	return string(buffer)
+}
+
+// ErrBadTaskID is returned for a name that is no task's.
+var ErrBadTaskID = errors.New("bad task name")
+
+// ParseTaskID is the inverse of TaskID.String.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskID{}, ErrBadTaskID
+	}
+	id, err := ParseID(parts[0])
+	if err != nil {
+		return TaskID{}, ErrBadTaskID
+	}
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskID{}, ErrBadTaskID
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: id, Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+// Check returns an error if no fleet could run the job as it is described.
+func (j *Job) Check() error {
+	switch {
+	case len(j.Spec) > MaxSpecBytes:
+		return errors.Errorf("spec has %d bytes, more than %d", len(j.Spec), MaxSpecBytes)
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return errors.Errorf("%d steps, not 1 to %d", len(j.Steps), MaxSteps)
+	case j.Repeat < 0 || j.Repeat > MaxOccurrences:
+		return errors.Errorf("%d occurrences, not 0 to %d", j.Repeat, MaxOccurrences)
+	case j.StartMS < 0 || j.Interval < 0:
+		return errors.New("negative time of an occurrence")
+	}
+	tasks := 0
+	for i, step := range j.Steps {
+		if err := step.check(i); err != nil {
+			return errors.Wrapf(err, "step %d", i)
+		}
+		tasks += step.Count * j.Occurrences()
+	}
+	if tasks > MaxTasks {
+		return errors.Errorf("%d tasks, more than %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+func (s Step) check(number int) error {
+	switch {
+	case s.Count < 1 || s.Count > MaxTasks:
+		return errors.Errorf("%d tasks, not 1 to %d", s.Count, MaxTasks)
+	case s.Request.MilliCPU < 0 || s.Request.MemoryMB < 0 || s.Request.GPU < 0:
+		return errors.New("negative request")
+	case s.Estimate < 0 || s.TailLimit < 0 || s.PerHost < 0 || s.MayMiss < 0:
+		return errors.New("negative limit")
+	}
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= number {
+			return errors.Errorf("waits for step %d, which is not an earlier one", earlier)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/job/progress.go
@@ -0,0 +1,114 @@
+package job
+
+import (
+	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/codec"
+)
+
+// Phase is a job's state as its clients see it.
+type Phase uint8
+
+// The values of Phase.
+const (
+	Queued Phase = iota
+	Active
+	Succeeded
+	Failed
+	Cancelled
+)
+
+// Terminal reports whether the phase is final.
+func (p Phase) Terminal() bool { return p >= Succeeded }
+
+// String returns the phase's name in logs.
+func (p Phase) String() string {
+	switch p {
+	case Queued:
+		return "queued"
+	case Active:
+		return "active"
+	case Succeeded:
+		return "succeeded"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
+
+// Part names one step of one occurrence.
+type Part struct {
+	Occurrence int
+	Step       int
+}
+
+// Progress is what is recorded of a job's execution. The owner of the fleet writes it before it acknowledges the ends
+// that it holds, so that no end is forgotten.
+type Progress struct {
+	Phase   Phase          `cbor:"1,keyasint"`
+	EndedMS int64          `cbor:"2,keyasint,omitempty"` // when Phase became terminal, Unix milliseconds
+	Parts   []PartProgress `cbor:"3,keyasint,omitempty"`
+}
+
+// PartProgress is the progress of one step of one occurrence.
+type PartProgress struct {
+	Occurrence int           `cbor:"1,keyasint,omitempty"`
+	Step       int           `cbor:"2,keyasint,omitempty"`
+	Done       []byte        `cbor:"3,keyasint,omitempty"` // bitmap by task index
+	Failures   []TaskFailure `cbor:"4,keyasint,omitempty"`
+}
+
+// TaskFailure is one attempt that ended in failure. The attempt's number keeps an end that is listed again, to a
+// later owner, from counting twice.
+type TaskFailure struct {
+	Index   int    `cbor:"1,keyasint,omitempty"`
+	Attempt uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// IsDone reports whether the task at index is done.
+func (p *PartProgress) IsDone(index int) bool {
+	return index/8 < len(p.Done) && p.Done[index/8]&(1<<(index%8)) != 0
+}
+
+// SetDone records that the task at index is done.
+func (p *PartProgress) SetDone(index int) {
+	for index/8 >= len(p.Done) {
+		p.Done = append(p.Done, 0)
+	}
+	p.Done[index/8] |= 1 << (index % 8)
+}
+
+// ErrBadRecord is returned for a durable record that cannot be read.
+var ErrBadRecord = errors.New("unreadable record")
+
+// Limits of a job. One that exceeds them is refused when it is submitted.
+const (
+	MaxSteps       = 256
+	MaxTasks       = 100_000
+	MaxSpecBytes   = 4000
+	MaxOccurrences = 10_000
+)
+
+var (
+	decoding = codec.Decoder(codec.Limits{Levels: 16, Elements: MaxTasks + 16, Pairs: 1024})
+	encoding = codec.Encoder()
+)
+
+// Encode returns the durable form of a Job or Progress.
+func Encode(record any) ([]byte, error) {
+	data, err := encoding.Marshal(record)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode record")
+	}
+	return data, nil
+}
+
+// Decode reads the durable form into record.
+func Decode(data []byte, record any) error {
+	if err := decoding.Unmarshal(data, record); err != nil {
+		return errors.Wrapf(ErrBadRecord, "%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,217 @@
+// Package owner runs the fleet on the one host that owns it. Every host competes for the ownership, a leased key in
+// the store; the one that has it reads all jobs, fences all upstreams and then lets the decision core decide. It stops
+// giving orders before its lease can have ended.
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/ledger"
+	"citrongauge.example/citrongauge/operator"
+	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/steady"
+)
+
+const (
+	// leaseTTL is how long the fleet is without an owner after one has died. It outlasts short pauses of the store.
+	leaseTTL = 2500 * time.Millisecond
+	// leaseMargin ends the ownership early on this host, as its clock may run slow relative to the store's.
+	leaseMargin  = 150 * time.Millisecond
+	renewEvery   = 450 * time.Millisecond
+	renewTimeout = 600 * time.Millisecond
+	callTimeout  = 800 * time.Millisecond
+	// candidateWait is the longest wait of a watch on the owner's key.
+	candidateWait = 1500 * time.Millisecond
+	failurePause  = 150 * time.Millisecond
+)
+
+// Options are what an Owner works with.
+type Options struct {
+	Host      string
+	Process   string // differs between lives of the host's process
+	Settings  platform.Settings
+	KV        *platform.KV
+	Ledger    *ledger.Ledger
+	Operator  *operator.Follower
+	Upstreams *platform.Upstreams
+	Machines  *platform.Machines // nil: there is no list of machines
+	Advice    *platform.Advice   // nil: there is no advice service
+	Observe   Observer
+	Log       func(event string, fields ...any)
+}
+
+// Observer receives measurements, for metrics.
+type Observer interface {
+	Owning(owning bool)
+	JobEnded(team, queue, phase string, age time.Duration)
+	Counts(starts, done, failed, requeued, stops, looks, refused, jobs, upstreams int)
+}
+
+// Owner competes for the ownership and uses it.
+type Owner struct {
+	Options
+	owning atomic.Bool
+}
+
+// New returns an owner that does nothing until Run.
+func New(options Options) *Owner { return &Owner{Options: options} }
+
+// Owning reports whether this host owns the fleet.
+func (o *Owner) Owning() bool { return o.owning.Load() }
+
+// Run competes until ctx ends. An ownership that is held then is given back.
+func (o *Owner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		ownership, since, err := o.claim(ctx)
+		switch {
+		case err == nil:
+			o.own(ctx, ownership, since)
+		case errors.Is(err, ledger.ErrOwned):
+			o.waitForChange(ctx)
+		case ctx.Err() == nil:
+			o.Log("ownership not claimed", "error", err.Error())
+			pause(ctx, failurePause)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// waitForChange returns when the owner's key changes or a watch ends.
+func (o *Owner) waitForChange(ctx context.Context) {
+	item, err := o.KV.Get(ctx, ledger.OwnerKey, callTimeout)
+	if err != nil {
+		pause(ctx, failurePause)
+		return
+	}
+	after := item.Revision
+	for item.Revision != 0 && ctx.Err() == nil {
+		events, asOf, err := o.KV.Watch(ctx, ledger.OwnerKey, after, candidateWait)
+		if err != nil {
+			pause(ctx, failurePause)
+			return
+		}
+		if len(events) > 0 {
+			return
+		}
+		after = asOf
+	}
+}
+
+// claim takes the ownership if it is free. since is a time on the steady clock before the lease began.
+func (o *Owner) claim(ctx context.Context) (*ledger.Ownership, time.Duration, error) {
+	item, err := o.KV.Get(ctx, ledger.OwnerKey, callTimeout)
+	if err != nil {
+		return nil, 0, err
+	}
+	if item.Revision != 0 {
+		owned, err := ledger.OwnedByOther(item, o.Host)
+		if err != nil {
+			return nil, 0, err
+		}
+		if owned {
+			return nil, 0, ledger.ErrOwned
+		}
+	}
+	since := steady.Now()
+	ttl := max(leaseTTL, o.Settings.Store.MinLease)
+	lease, _, err := o.KV.GrantLease(ctx, ttl, callTimeout)
+	if err != nil {
+		return nil, 0, err
+	}
+	ownership, err := o.Ledger.Claim(ctx, o.Host, o.Process, lease, callTimeout)
+	if err != nil {
+		if endErr := o.KV.EndLease(ctx, lease, callTimeout); endErr != nil {
+			o.Log("lease not ended", "lease", lease, "error", endErr.Error())
+		}
+		return nil, 0, err
+	}
+	return ownership, since, nil
+}
+
+// own uses an ownership until it ends.
+func (o *Owner) own(ctx context.Context, ownership *ledger.Ownership, since time.Duration) {
+	o.Log("ownership claimed", "token", ownership.Token, "generation", ownership.Generation)
+	o.owning.Store(true)
+	o.Observe.Owning(true)
+	owned, end := context.WithCancelCause(ctx)
+	lease := &leaseKeeper{owner: o, lease: ownership.Lease}
+	lease.renewed(since)
+	go lease.run(owned, end)
+	r := newReign(o, ownership, lease)
+	r.run(owned)
+	cause := context.Cause(owned)
+	end(nil)
+	o.owning.Store(false)
+	o.Observe.Owning(false)
+	reason := "shutdown"
+	if ctx.Err() == nil && cause != nil {
+		reason = cause.Error()
+	}
+	if r.failure != nil {
+		reason = r.failure.Error()
+	}
+	o.Log("ownership ended", "token", ownership.Token, "reason", reason, "lease_left_ms", lease.left().Milliseconds())
+	// Calls that are on their way must be over before another host may own the fleet: each is refused by a fence.
+	giveBack, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	if err := o.KV.EndLease(giveBack, ownership.Lease, callTimeout); err != nil {
+		o.Log("lease not ended", "lease", ownership.Lease, "error", err.Error())
+	}
+}
+
+// errLeaseEnded is the cause with which an ownership ends.
+var errLeaseEnded = errors.New("lease has ended")
+
+// leaseKeeper renews the lease of the ownership and knows until when it is valid for certain.
+type leaseKeeper struct {
+	owner *Owner
+	lease uint64
+	until atomic.Int64 // steady time
+}
+
+func (k *leaseKeeper) renewed(sent time.Duration) {
+	ttl := max(leaseTTL, k.owner.Settings.Store.MinLease)
+	k.until.Store(int64(sent + ttl - leaseMargin))
+}
+
+// left returns how long the lease is still valid for certain.
+func (k *leaseKeeper) left() time.Duration { return time.Duration(k.until.Load()) - steady.Now() }
+
+func (k *leaseKeeper) valid() bool { return k.left() > 0 }
+
+func (k *leaseKeeper) run(ctx context.Context, end context.CancelCauseFunc) {
+	failing := false
+	for ctx.Err() == nil {
+		wait := renewEvery
+		if failing {
+			wait = failurePause
+		}
+		pause(ctx, wait)
+		sent := steady.Now()
+		err := k.owner.KV.KeepLease(ctx, k.lease, renewTimeout)
+		switch {
+		case err == nil:
+			if failing {
+				k.owner.Log("lease renewed again", "lease", k.lease, "left_ms", k.left().Milliseconds())
+			}
+			failing = false
+			k.renewed(sent)
+		case errors.Is(err, platform.ErrLeaseEnded):
+			end(errLeaseEnded)
+			return
+		case ctx.Err() == nil && !failing:
+			failing = true
+			k.owner.Log("lease not renewed", "lease", k.lease, "left_ms", k.left().Milliseconds(), "error", err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/schedule/records.go
@@ -0,0 +1,110 @@
+package schedule
+
+import (
+	"citrongauge.example/citrongauge/job"
+)
+
+// Record is a job's progress to be stored, or the removal of all that is stored of it.
+type Record struct {
+	ID       job.ID
+	Progress job.Progress
+	Remove   bool
+}
+
+// touch marks a job's progress for storing.
+func (c *Core) touch(j *jobState) { c.dirty[j.ID] = j }
+
+// retentionFactor keeps the records of ended jobs beyond the platform's bound: a client's repeat may come late.
+const retentionFactor = 2
+
+// Take returns the records of a new round. The round is to be confirmed by Stored, in order.
+func (c *Core) Take() (round uint64, records []Record) {
+	c.round++
+	for id, j := range c.dirty {
+		records = append(records, Record{ID: id, Progress: j.snapshot()})
+		delete(c.dirty, id)
+		if j.phase.Terminal() {
+			c.retire(id, j.endedMS)
+		}
+	}
+	return c.round, append(records, c.expired()...)
+}
+
+func (c *Core) retire(id job.ID, endedMS int64) {
+	c.retired = append(c.retired, retired{id, endedMS})
+	c.endedIDs[id] = struct{}{}
+}
+
+// maxRemovals bounds the removals of one round.
+const maxRemovals = 10
+
+// expired returns removals of jobs whose retention is over.
+func (c *Core) expired() []Record {
+	var records []Record
+	horizon := c.wallMS - retentionFactor*c.Bounds.Retention.Milliseconds()
+	for len(c.retired) > 0 && c.retired[0].endedMS < horizon && len(records) < maxRemovals {
+		records = append(records, Record{ID: c.retired[0].id, Remove: true})
+		delete(c.endedIDs, c.retired[0].id)
+		c.retired = c.retired[1:]
+	}
+	return records
+}
+
+// NeedsStoring reports whether Take would return records.
+func (c *Core) NeedsStoring() bool {
+	if len(c.dirty) > 0 {
+		return true
+	}
+	horizon := c.wallMS - retentionFactor*c.Bounds.Retention.Milliseconds()
+	return len(c.retired) > 0 && c.retired[0].endedMS < horizon
+}
+
+// Stored confirms that the records of a round are stored. Ends that they cover may now be acknowledged.
+func (c *Core) Stored(round uint64) {
+	c.durable = round
+	for _, up := range c.upstreams {
+		up.advanceAck(round)
+	}
+	for id, j := range c.jobs {
+		if j.phase.Terminal() && !c.isDirty(id) && j.isQuiet() {
+			delete(c.jobs, id)
+		}
+	}
+}
+
+func (c *Core) isDirty(id job.ID) bool {
+	_, dirty := c.dirty[id]
+	return dirty
+}
+
+// isQuiet reports whether nothing of the job runs any more.
+func (j *jobState) isQuiet() bool {
+	for _, p := range j.parts {
+		for i := range p.tasks {
+			if len(p.tasks[i].runs) > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// snapshot returns the progress to be stored.
+func (j *jobState) snapshot() job.Progress {
+	progress := job.Progress{Phase: j.phase, EndedMS: j.endedMS}
+	if j.phase.Terminal() {
+		return progress
+	}
+	if j.begun {
+		progress.Phase = job.Active
+	}
+	for _, p := range j.parts {
+		if p.done > 0 || len(p.progress.Failures) > 0 {
+			copied := p.progress
+			copied.Done = append([]byte(nil), p.progress.Done...)
+			copied.Failures = append([]job.TaskFailure(nil), p.progress.Failures...)
+			progress.Parts = append(progress.Parts, copied)
+		}
+	}
+	return progress
+}
--- /dev/null
+++ b/schedule/runs.go
@@ -0,0 +1,488 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
+)
+
+type runState uint8
+
+const (
+	runUnsent   runState = iota // the start was refused and is to be settled
+	runStarting                 // a start is on its way
+	runUnknown                  // a start got no answer
+	runRunning
+	runStopping // a stop is to be sent, or is on its way
+	runStopped  // the stop was answered; the end is not listed yet
+)
+
+// run is one attempt of a task on one upstream.
+type run struct {
+	part    *part
+	index   int
+	attempt uint64
+	up      *upstream
+	state   runState
+	room    job.Resources // what it takes of the upstream's capacity
+
+	started      time.Duration
+	checkpoint   string // the newest one of the run
+	checkpointed bool   // it was started from a checkpoint
+	adopted      bool   // it was found on the upstream, not started by this owner
+	dead         bool   // settled
+
+	asked   uint64 // the last look that was asked for before the newest order for the run was answered
+	seenAt  uint64 // the last look that listed it
+	orders  int    // orders of the present kind that got no answer
+	retryAt time.Duration
+	pending bool // an order is on its way
+
+	progress int // percent; 100 for a long-running task that is at work
+	pace     int // percent that was confirmed
+	paced    int // percent that was ordered
+	gauge    int
+	overdue  bool
+}
+
+const (
+	// maxStartTries is how often a start is sent before the run is given up and stopped.
+	maxStartTries = 3
+	orderRetry    = 100 * time.Millisecond
+	orderRetryMax = time.Second
+)
+
+func (r *run) task() *task { return &r.part.tasks[r.index] }
+
+func (r *run) id() job.TaskID { return r.part.taskID(r.index) }
+
+// start creates a run and the call that starts it.
+func (c *Core) start(p *part, index int, attempt uint64, up *upstream, ticket string) {
+	t := &p.tasks[index]
+	r := &run{
+		part: p, index: index, attempt: attempt, up: up, state: runStarting, room: p.step.Room(), started: c.now,
+		checkpoint: t.checkpoint, checkpointed: t.checkpoint != "", pace: fullPace, paced: fullPace,
+	}
+	t.lastAttempt = attempt
+	c.attach(r)
+	if !p.job.begun {
+		p.job.begun = true
+	}
+	c.stats.Starts++
+	c.Log("start", "job", p.job.ID, "task", r.id().String(), "attempt", attempt, "upstream", up.ID,
+		"free_cpu", up.room().MilliCPU, "waited_ms", (c.now - p.releasedAt).Milliseconds(),
+		"failures", t.failures, "clock_age_ms", (c.now - up.clockAt).Milliseconds())
+	c.sendStart(r, ticket)
+}
+
+func (c *Core) sendStart(r *run, ticket string) {
+	r.pending = true
+	r.state = runStarting
+	c.calls = append(c.calls, Start{Target: r.up.target(), Order: platform.StartOrder{
+		Task: r.id(), Attempt: r.attempt, Spec: r.part.job.Spec, DeadlineMS: c.extendLease(r.up), Token: c.Token,
+		Checkpoint: r.checkpoint, Ticket: ticket,
+	}})
+}
+
+// attach books a run on its upstream, its task and its team.
+func (c *Core) attach(r *run) {
+	t := r.task()
+	t.runs = append(t.runs, r)
+	r.up.runs[r.id()] = r
+	r.up.used = r.up.used.Add(r.room)
+	r.up.demand += r.part.step.Request.MilliCPU
+	r.part.job.team.used = r.part.job.team.used.Add(r.part.step.Request)
+	r.part.perHost[r.up.ID]++
+}
+
+// settle takes a run off the books: it does not run and never will.
+func (c *Core) settle(r *run) {
+	if r.dead {
+		return
+	}
+	r.dead = true
+	t := r.task()
+	for i, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:i:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	if r.up.runs[r.id()] == r {
+		delete(r.up.runs, r.id())
+	}
+	r.up.used = r.up.used.Sub(r.room)
+	r.up.demand -= r.part.step.Request.MilliCPU
+	r.part.job.team.used = r.part.job.team.used.Sub(r.part.step.Request)
+	r.part.perHost[r.up.ID]--
+}
+
+// requeue lets a task whose run ended without success be started again.
+func (c *Core) requeue(r *run, reason, checkpoint string) {
+	t := r.task()
+	if checkpoint != "" {
+		t.checkpoint = checkpoint
+	}
+	if t.done || r.part.job.phase.Terminal() {
+		return
+	}
+	c.stats.Requeued++
+	c.Log("task to be started again", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt,
+		"upstream", r.up.ID, "reason", reason, "ran_ms", (c.now - r.started).Milliseconds(), "checkpoint", t.checkpoint != "")
+}
+
+// stop ends a run that is no longer wanted.
+func (c *Core) stop(r *run, reason string) {
+	if r.dead || r.state == runStopping || r.state == runStopped {
+		return
+	}
+	c.Log("stop", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID,
+		"reason", reason, "ran_ms", (c.now - r.started).Milliseconds())
+	c.stats.Stops++
+	r.state, r.orders = runStopping, 0
+	c.sendStop(r)
+}
+
+func (c *Core) sendStop(r *run) {
+	r.pending = true
+	c.calls = append(c.calls, Stop{Target: r.up.target(), Order: platform.StopOrder{
+		Task: r.id(), Attempt: r.attempt, Token: c.Token,
+	}})
+}
+
+// retryOrders sends orders again that got no answer.
+func (c *Core) retryOrders() {
+	for _, up := range c.upstreams {
+		for _, r := range up.runs {
+			if r.pending || c.now < r.retryAt || up.failedLooks > 0 {
+				continue
+			}
+			switch r.state {
+			case runUnknown:
+				if r.orders >= maxStartTries {
+					c.stop(r, "its start got no answer")
+				} else {
+					c.sendStart(r, c.ticketFor(r.part, up))
+				}
+			case runStopping:
+				c.sendStop(r)
+			}
+		}
+	}
+}
+
+func (c *Core) findRun(target platform.Target, id job.TaskID, attempt uint64) *run {
+	up := c.upstreams[target.ID]
+	if up == nil || up.Address != target.Address {
+		return nil
+	}
+	r := up.runs[id]
+	if r == nil || r.attempt != attempt {
+		return nil
+	}
+	return r
+}
+
+// Started handles the answer to a Start.
+func (c *Core) Started(start Start, clockMS int64, err error) {
+	r := c.findRun(start.Target, start.Order.Task, start.Order.Attempt)
+	if r == nil {
+		return
+	}
+	r.pending = false
+	r.asked = r.up.lookSeq
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		if r.state == runStarting || r.state == runUnknown {
+			r.state = runRunning
+		}
+	case errors.As(err, &refused):
+		c.startRefused(r, refused)
+	case errors.Is(err, platform.ErrNotDone):
+		r.up.suspect(c, "no connection")
+		c.settle(r)
+		c.requeue(r, "start did not leave this host", "")
+	default:
+		c.startUnanswered(r, err)
+	}
+}
+
+func (c *Core) startUnanswered(r *run, err error) {
+	r.orders++
+	if r.state == runStarting {
+		r.state = runUnknown
+	}
+	r.retryAt = c.now + min(orderRetry<<min(r.orders, 5), orderRetryMax)
+	c.Log("start got no answer", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt,
+		"upstream", r.up.ID, "tries", r.orders, "error", err.Error())
+}
+
+// startRefused handles a start that the upstream rejected: the run is not there.
+func (c *Core) startRefused(r *run, refused *platform.RefusedError) {
+	c.stats.Refused++
+	c.Log("start refused", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID,
+		"reason", refused.Reason, "clock_age_ms", (c.now - r.up.clockAt).Milliseconds())
+	switch refused.Reason {
+	case platform.RefusedFence:
+		c.outdone = true
+	case platform.RefusedOtherLife:
+		c.replaced(r.up)
+		return
+	case platform.RefusedRoom, platform.RefusedUnhealthy:
+		r.up.suspect(c, string(refused.Reason))
+	case platform.RefusedTicket:
+		r.part.tickets = nil
+	case platform.RefusedInvalid:
+		r.task().notBefore = c.now + invalidPause
+	}
+	stopping := r.state == runStopping || r.state == runStopped
+	if refused.Reason == platform.RefusedOld && r.orders > 0 && !stopping {
+		// An earlier copy of this start was carried out and has ended; the look lists the end.
+		r.state = runRunning
+		return
+	}
+	c.settle(r)
+	c.requeue(r, "start refused: "+string(refused.Reason), "")
+}
+
+// invalidPause is how long a task waits whose start was called malformed.
+const invalidPause = 2 * time.Second
+
+// Stopped handles the answer to a Stop.
+func (c *Core) Stopped(stop Stop, clockMS int64, err error) {
+	r := c.findRun(stop.Target, stop.Order.Task, stop.Order.Attempt)
+	if r == nil {
+		return
+	}
+	r.pending = false
+	r.asked = r.up.lookSeq
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		r.state = runStopped
+	case errors.As(err, &refused) && refused.Reason == platform.RefusedFence:
+		c.outdone = true
+	case errors.As(err, &refused) && refused.Reason == platform.RefusedOtherLife:
+		c.replaced(r.up)
+	case errors.As(err, &refused) && refused.Reason == platform.RefusedOld:
+		r.state = runStopped
+	default:
+		r.orders++
+		r.retryAt = c.now + min(orderRetry<<min(r.orders, 5), orderRetryMax)
+		if r.orders == 1 {
+			c.Log("stop got no answer", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt,
+				"upstream", r.up.ID, "error", err.Error())
+		}
+	}
+}
+
+// Paced handles the answer to a Pace.
+func (c *Core) Paced(pace Pace, err error) {
+	r := c.findRun(pace.Target, pace.Order.Task, pace.Order.Attempt)
+	if r == nil {
+		return
+	}
+	r.pending = false
+	if err == nil {
+		r.pace = pace.Order.Percent
+		return
+	}
+	r.paced = r.pace // ordered again at the next decision
+	c.Log("pace not confirmed", "task", r.id().String(), "upstream", r.up.ID, "percent", pace.Order.Percent,
+		"error", err.Error())
+}
+
+// seen notes that a look listed the run.
+func (r *run) seen(c *Core, row platform.Running, seq uint64) {
+	r.seenAt = seq
+	r.gauge, r.progress = row.Gauge, row.Percent
+	if row.Checkpoint != "" && row.Checkpoint != r.checkpoint {
+		r.checkpoint = row.Checkpoint
+		r.task().checkpoint = row.Checkpoint
+	}
+	if r.state == runUnknown {
+		r.state = runRunning
+		c.Log("run found", "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID)
+	}
+}
+
+// vanished handles a run that a look should have listed and did not.
+func (c *Core) vanished(r *run) {
+	switch r.state {
+	case runStopped:
+		c.settle(r)
+		c.requeue(r, "stopped before it began", "")
+	case runRunning:
+		c.settle(r)
+		c.Log("run not listed", "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID)
+		c.requeue(r, "not listed any more", r.checkpoint)
+	}
+}
+
+// adopt takes over a run that this owner did not start, or stops it if it is not wanted.
+func (c *Core) adopt(up *upstream, row platform.Running) *run {
+	p, index := c.find(row.Task)
+	if p == nil {
+		c.stopForeign(up, row)
+		return nil
+	}
+	t := &p.tasks[index]
+	r := &run{
+		part: p, index: index, attempt: row.Attempt, up: up, state: runRunning, room: p.step.Room(), started: c.now,
+		adopted: true, pace: fullPace, paced: fullPace,
+	}
+	unwanted := ""
+	switch {
+	case p.job.phase.Terminal() || t.done:
+		unwanted = "its task has ended"
+	case len(t.runs) > 0 && !p.step.Speculative:
+		unwanted = "another run of its task is known"
+	}
+	if other := up.runs[row.Task]; other != nil {
+		if other.attempt > row.Attempt {
+			return nil // the listed run is an earlier one, which is ending
+		}
+		c.settle(other)
+	}
+	t.lastAttempt = max(t.lastAttempt, row.Attempt)
+	c.attach(r)
+	p.job.begun = true
+	c.Log("run adopted", "job", p.job.ID, "task", r.id().String(), "attempt", r.attempt, "upstream", up.ID)
+	if unwanted != "" {
+		c.stop(r, unwanted)
+	}
+	return r
+}
+
+// stopForeign stops a run of a job that is not known: it ended and its records are gone.
+func (c *Core) stopForeign(up *upstream, row platform.Running) {
+	c.Log("stop", "task", row.Task.String(), "attempt", row.Attempt, "upstream", up.ID, "reason", "its job is not known")
+	c.calls = append(c.calls, Stop{Target: up.target(), Order: platform.StopOrder{
+		Task: row.Task, Attempt: row.Attempt, Token: c.Token,
+	}})
+}
+
+// find returns the part and index of a task of a known job.
+func (c *Core) find(id job.TaskID) (*part, int) {
+	j := c.jobs[id.Job]
+	if j == nil || id.Step >= len(j.Steps) || id.Occurrence >= j.due {
+		return nil, 0
+	}
+	p := j.parts[id.Occurrence*len(j.Steps)+id.Step]
+	if id.Index >= len(p.tasks) {
+		return nil, 0
+	}
+	return p, id.Index
+}
+
+// ended handles an end that an upstream lists. It reports whether progress changed that must be stored before the end
+// is acknowledged.
+func (c *Core) ended(up *upstream, end platform.Ended) bool {
+	r := up.runs[end.Task]
+	if r != nil && r.attempt == end.Attempt {
+		c.settle(r)
+	} else {
+		r = nil
+	}
+	p, index := c.find(end.Task)
+	if p == nil {
+		return false
+	}
+	t := &p.tasks[index]
+	t.lastAttempt = max(t.lastAttempt, end.Attempt)
+	ran := int64(-1)
+	if r != nil {
+		ran = (c.now - r.started).Milliseconds()
+	}
+	c.Log("end", "job", p.job.ID, "task", end.Task.String(), "attempt", end.Attempt, "upstream", up.ID, "how", end.Kind,
+		"number", end.Seq, "ran_ms", ran)
+	if end.Checkpoint != "" && end.Kind != platform.EndDone && end.Kind != platform.EndFailed {
+		t.checkpoint = end.Checkpoint
+	}
+	if p.job.phase.Terminal() || t.done {
+		return c.isDirty(p.job.ID)
+	}
+	switch end.Kind {
+	case platform.EndDone:
+		return c.taskDone(p, index, r, up)
+	case platform.EndFailed:
+		return c.taskFailed(p, index, end, up)
+	}
+	if r != nil {
+		c.requeue(r, string(end.Kind), end.Checkpoint)
+	}
+	return false
+}
+
+func (c *Core) taskDone(p *part, index int, r *run, up *upstream) bool {
+	if p.step.LongRunning {
+		p.tasks[index].notBefore = c.now + retryPause
+		return false
+	}
+	if r != nil {
+		c.learn(r)
+	}
+	up.trouble.succeeded()
+	if p.step.Gang {
+		for i := range p.tasks {
+			c.markDone(p, i)
+		}
+	} else {
+		c.markDone(p, index)
+	}
+	c.touch(p.job)
+	if p.isDone() {
+		c.unlist(p)
+		p.job.open--
+		c.release(p.job)
+		c.checkComplete(p.job)
+	}
+	return true
+}
+
+func (c *Core) markDone(p *part, index int) {
+	t := &p.tasks[index]
+	if t.done {
+		return
+	}
+	t.done = true
+	p.done++
+	p.progress.SetDone(index)
+	c.stats.Done++
+	for _, r := range t.runs {
+		if !p.step.Gang {
+			c.stop(r, "another run of its task is done")
+		}
+	}
+}
+
+func (c *Core) taskFailed(p *part, index int, end platform.Ended, up *upstream) bool {
+	t := &p.tasks[index]
+	up.trouble.failed(c, up, p.job.ID)
+	t.lostOn = up.ID
+	if p.step.LongRunning {
+		t.failures++
+		t.notBefore = c.now + min(retryPause<<min(t.failures-1, 5), maxRetryPause)
+		return false
+	}
+	if p.step.Gang {
+		index = 0 // a gang's attempt fails once, whichever members report it
+	}
+	for _, failure := range p.progress.Failures {
+		if failure.Index == index && failure.Attempt == end.Attempt {
+			return c.isDirty(p.job.ID)
+		}
+	}
+	c.stats.Failed++
+	p.progress.Failures = append(p.progress.Failures, job.TaskFailure{Index: index, Attempt: end.Attempt})
+	p.tasks[index].failures++
+	c.touch(p.job)
+	if p.tasks[index].failures >= max(p.job.Queue.MaxAttempts, 1) {
+		c.end(p.job, job.Failed, "a task failed in all its attempts")
+	}
+	return true
+}
