schedule: start nothing beside runs of unknown jobs

Cause: after a change of owner an upstream may still run, or be stopping, tasks of jobs that have ended. Change: such runs are counted from each look, and nothing starts on the upstream while there are any. Log chunks are at most 4 KiB, as the reader of the pipe cuts larger ones.

--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -3,6 +3,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -88,12 +89,30 @@
 		lines := b.waiting
 		b.waiting = spare[:0]
 		b.mu.Unlock()
-		if len(lines) > 0 {
-			_, _ = w.Write(lines) // a log that cannot be written has nowhere to be reported
-		}
+		writeLines(w, lines)
 		spare = lines
 		if ending {
 			return
 		}
 	}
 }
+
+// writeChunk is the size up to which lines are written in one call. Readers of a pipe may cut larger ones.
+const writeChunk = 4 << 10
+
+// writeLines writes whole lines in chunks.
+func writeLines(w io.Writer, lines []byte) {
+	for len(lines) > 0 {
+		end := len(lines)
+		if end > writeChunk {
+			end = bytes.LastIndexByte(lines[:writeChunk], '\n') + 1
+			if end == 0 {
+				end = len(lines) // one long line
+			}
+		}
+		if _, err := w.Write(lines[:end]); err != nil {
+			return // a log that cannot be written has nowhere to be reported
+		}
+		lines = lines[end:]
+	}
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -139,7 +139,7 @@
 }
 
 func (c *Core) isUsable(up *upstream) bool {
-	return up.listed && up.fenced && up.stored && !up.gone && !up.Draining && up.failedLooks == 0 &&
+	return up.listed && up.fenced && up.stored && !up.gone && !up.Draining && up.failedLooks == 0 && up.foreign == 0 &&
 		!c.evacuated[up.Zone] && !up.cordoned && !up.trouble.isQuarantined(c.now)
 }
 
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -360,6 +360,7 @@
 
 // stopForeign stops a run of a job that is not known: it ended and its records are gone.
 func (c *Core) stopForeign(up *upstream, row platform.Running) {
+	up.foreign++
 	c.Log("stop", "task", row.Task.String(), "attempt", row.Attempt, "upstream", up.ID, "reason", "its job is not known")
 	c.calls = append(c.calls, Stop{Target: up.target(), Order: platform.StopOrder{
 		Task: row.Task, Attempt: row.Attempt, Token: c.Token,
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -40,6 +40,8 @@
 
 	runs map[job.TaskID]*run
 	used job.Resources
+	// foreign is the number of runs of unknown jobs that the last look listed. They take room that is not known.
+	foreign int
 	// demand is the processor request of all runs, the filling ones included.
 	demand   int64
 	trouble  trouble
@@ -237,7 +239,7 @@
 	switch {
 	case !up.fenced:
 		return up.listed || up.stored
-	case len(up.runs) > 0:
+	case len(up.runs) > 0 || up.foreign > 0:
 		return true
 	}
 	return up.acked > up.ackSent
@@ -336,6 +338,7 @@
 
 // handleRunning compares an upstream's list with what the core knows.
 func (c *Core) handleRunning(up *upstream, running []platform.Running, seq uint64) {
+	up.foreign = 0
 	for _, row := range running {
 		r := up.runs[row.Task]
 		if r == nil || r.attempt != row.Attempt {
