Carry out waves of upkeep

Change: the owner empties machines of the pools with the most room first, moves long-running tasks within what their step may miss, orders the upkeep under its token, and stores what is done, so that a later owner goes on.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -11,6 +11,7 @@
 //	cg/chain            rises with each write of an owner; each of these is conditioned on it
 //	cg/roster           upstreams on which tasks may run
 //	cg/pending          for each queue, the number of jobs of which no task has started
+//	cg/wave/N           how far a wave of upkeep is
 package ledger
 
 import (
@@ -31,6 +32,7 @@
 	chainKey       = "cg/chain"
 	rosterKey      = "cg/roster"
 	pendingKey     = "cg/pending"
+	wavePrefix     = "cg/wave/"
 	cancelSuffix   = "/cancel"
 	progressSuffix = "/progress"
 )
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -266,3 +267,25 @@
 	record, err := decodeOwner(item)
 	return record.Host != host, err
 }
+
+// WaveWrites returns the records of a wave: the owner's own, and the one that the operator reads.
+func WaveWrites(number int, record any, succeeded bool) ([]platform.Write, error) {
+	value, err := job.Encode(record)
+	return []platform.Write{
+		{Key: wavePrefix + strconv.Itoa(number), Value: value},
+		{Key: platform.WaveStatusKey(number), Value: platform.EncodeWaveStatus(succeeded)},
+	}, err
+}
+
+// Waves reads the owner's records of waves, as CBOR.
+func (l *Ledger) Waves(ctx context.Context, timeout time.Duration) ([][]byte, error) {
+	items, _, err := l.kv.All(ctx, wavePrefix, timeout)
+	if err != nil {
+		return nil, err
+	}
+	records := make([][]byte, 0, len(items))
+	for _, item := range items {
+		records = append(records, item.Value)
+	}
+	return records, nil
+}
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -29,6 +29,10 @@
 	lookTimeout   = 500 * time.Millisecond
 	eventBuffer   = 1024
 	pendingGap    = 700 * time.Millisecond
+	// listGap is the pause between two readings of the list of machines while a wave is open. A machine that comes
+	// back is noticed by its upstream's entry; the list shows machines that have gone, and their pools.
+	listGap        = 2 * time.Second
+	machineTimeout = 1500 * time.Millisecond
 	// upstreamLease is how long tasks run on without word from the owner. It rides out a change of owner and a short
 	// outage of the store; a task on an upstream that was cut off starts again elsewhere after it.
 	upstreamLease = 5 * time.Second
@@ -53,6 +57,10 @@
 	loaded      bool
 	bundle      *platform.Bundle
 	weakSince   time.Duration
+	operatorNow *operator.State
+	waves       map[int]schedule.WaveRecord
+	listing     bool
+	listAgain   time.Duration
 }
 
 func newReign(o *Owner, ownership *ledger.Ownership, lease *leaseKeeper) *reign {
@@ -125,6 +133,7 @@
 		r.send(ctx, call)
 	}
 	r.store(ctx)
+	r.listMachines(ctx)
 	r.count()
 	return true
 }
@@ -159,6 +168,11 @@
 
 // takeOperator puts changes of the operator's state into force.
 func (r *reign) takeOperator(state *operator.State) {
+	if state == r.operatorNow {
+		return
+	}
+	r.operatorNow = state
+	r.core.SetWaves(state.Waves, r.waves)
 	if state.Bundle != nil && state.Bundle != r.bundle {
 		r.bundle = state.Bundle
 		r.core.SetBundle(state.Bundle)
@@ -169,9 +183,10 @@
 // load reads the roster, the jobs and the upstreams, and begins to watch them.
 func (r *reign) load(ctx context.Context) error {
 	r.core.At(steady.Now(), steady.WallMS())
-	if state := r.Operator.State(); state.Bundle != nil {
-		r.takeOperator(state)
+	if err := r.readWaves(ctx); err != nil {
+		return err
 	}
+	r.takeOperator(r.Operator.State())
 	roster, err := r.Ledger.Roster(ctx, readTimeout)
 	if err != nil {
 		return err
@@ -377,6 +392,10 @@
 		return func(r *reign) { r.core.Looked(call, lists, err) }
 	case schedule.Ask:
 		return r.askAdvice(ctx, call)
+	case schedule.Upkeep:
+		holder := platform.Holder{Host: r.Host, Token: r.ownership.Token}
+		err := r.Machines.Upkeep(ctx, holder, call.Machine, call.Wave, machineTimeout)
+		return func(r *reign) { r.core.UpkeepAnswered(call, err) }
 	}
 	return nil
 }
@@ -399,11 +418,12 @@
 		r.roster = roster
 	}
 	pending := r.pendingWrite(now)
-	if r.roster == nil && pending == nil && !r.core.NeedsStoring() {
+	waves := r.core.WaveRecords()
+	if r.roster == nil && pending == nil && len(waves) == 0 && !r.core.NeedsStoring() {
 		return
 	}
 	round, records := r.core.Take()
-	writes := batch(records)
+	writes := r.addWaves(batch(records), waves)
 	if err := r.addExtras(&writes, pending); err != nil {
 		r.Log("record not encoded", "error", err.Error())
 	}
@@ -508,3 +528,54 @@
 	}
 	return true
 }
+
+// readWaves reads what earlier owners stored of waves.
+func (r *reign) readWaves(ctx context.Context) error {
+	values, err := r.Ledger.Waves(ctx, readTimeout)
+	if err != nil {
+		return err
+	}
+	r.waves = make(map[int]schedule.WaveRecord, len(values))
+	for _, value := range values {
+		var record schedule.WaveRecord
+		if err := job.Decode(value, &record); err != nil {
+			r.Log("unreadable record of a wave", "error", err.Error())
+			continue
+		}
+		r.waves[record.Number] = record
+	}
+	return nil
+}
+
+// addWaves appends a transaction for each wave whose state has changed.
+func (r *reign) addWaves(writes []ledger.Write, waves []schedule.WaveRecord) []ledger.Write {
+	for _, wave := range waves {
+		extra, err := ledger.WaveWrites(wave.Number, wave, wave.Succeeded)
+		if err != nil {
+			r.Log("record not encoded", "wave", wave.Number, "error", err.Error())
+			continue
+		}
+		writes = append(writes, ledger.Write{Extra: extra})
+	}
+	return writes
+}
+
+// listMachines reads the list of machines in the background while a wave is open.
+func (r *reign) listMachines(ctx context.Context) {
+	now := steady.Now()
+	if r.Machines == nil || r.listing || now < r.listAgain || !r.core.WavesOpen() {
+		return
+	}
+	r.listing = true
+	go func() {
+		machines, err := r.Machines.List(ctx, machineTimeout)
+		r.post(ctx, func(r *reign) {
+			r.listing, r.listAgain = false, steady.Now()+listGap
+			if err != nil {
+				r.Log("list of machines not read", "error", err.Error())
+				return
+			}
+			r.core.SetMachines(machines)
+		})
+	}()
+}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -62,6 +62,8 @@
 	speeds    map[string]*speed               // by queue
 	evacuated map[string]bool                 // zones
 	bundleSet bool
+	waves     map[int]*wave
+	machines  map[string]platform.Machine // nil: the list was not read yet
 
 	calls   []Call
 	outdone bool // an upstream has seen a higher token
@@ -107,7 +109,7 @@
 		jobs:    map[job.ID]*jobState{}, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, speeds: map[string]*speed{},
 		evacuated: map[string]bool{}, dirty: map[job.ID]*jobState{},
-		endedIDs: map[job.ID]struct{}{},
+		endedIDs: map[job.ID]struct{}{}, waves: map[int]*wave{},
 	}
 }
 
@@ -221,6 +223,7 @@
 	c.dueOccurrences()
 	c.expireUpstreams()
 	c.endOverdue()
+	c.upkeep()
 	c.askAdvice()
 	c.place()
 	c.paceFills()
--- /dev/null
+++ b/schedule/upkeep.go
@@ -0,0 +1,414 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/platform"
+)
+
+type machineState uint8
+
+const (
+	machineWaiting   machineState = iota
+	machinePreparing              // its upstream is being emptied
+	machineOrdered                // an order is on its way, or got no answer
+	machineDown                   // the order was accepted; the machine has not come back
+	machineDone
+)
+
+// wave is the operator's request that machines have their upkeep, and how far it is.
+type wave struct {
+	platform.Wave
+	startedMS int64
+	machines  map[string]*waveMachine
+	stored    bool // its state is in the store
+	succeeded bool
+}
+
+type waveMachine struct {
+	name    string
+	state   machineState
+	since   time.Duration
+	old     string // upstream at the time of the order
+	oldBorn int64
+	retryAt time.Duration
+	missing int // lists in a row that did not name it
+}
+
+const (
+	// upkeepHaste divides the time of a wave: it is done early, so that a later fault does not make it late.
+	upkeepHaste = 1.6
+	// upkeepOverhead is added to the duration of an upkeep for emptying and coming back.
+	upkeepOverhead = 600 * time.Millisecond
+	// drainPatience is how long the runs on a machine may end by themselves before they are stopped.
+	drainPatience = 1500 * time.Millisecond
+	upkeepRetry   = 300 * time.Millisecond
+	busyRetry     = time.Second
+	holderMargin  = 300 * time.Millisecond
+	missingIsGone = 3 // lists in a row
+)
+
+// Upkeep is a machine whose upkeep is to begin.
+type Upkeep struct {
+	Machine string
+	Wave    int
+}
+
+func (Upkeep) isCall() {}
+
+// WaveRecord is what is stored of a wave.
+type WaveRecord struct {
+	Number    int      `cbor:"1,keyasint"`
+	StartedMS int64    `cbor:"2,keyasint"`
+	Done      []string `cbor:"3,keyasint,omitempty"`
+	Succeeded bool     `cbor:"4,keyasint,omitempty"`
+}
+
+// SetWaves takes over the operator's waves. recorded holds what is stored of them.
+func (c *Core) SetWaves(waves []platform.Wave, recorded map[int]WaveRecord) {
+	for _, w := range waves {
+		if c.waves[w.Number] != nil {
+			continue
+		}
+		state := &wave{Wave: w, startedMS: c.wallMS, machines: map[string]*waveMachine{}}
+		for _, name := range w.Machines {
+			state.machines[name] = &waveMachine{name: name}
+		}
+		if record, ok := recorded[w.Number]; ok {
+			state.startedMS, state.succeeded, state.stored = record.StartedMS, record.Succeeded, true
+			for _, name := range record.Done {
+				if m := state.machines[name]; m != nil {
+					m.state = machineDone
+				}
+			}
+		}
+		c.waves[w.Number] = state
+		c.Log("wave known", "wave", w.Number, "machines", len(w.Machines), "at_once", w.AtOnce,
+			"within_ms", w.Within.Milliseconds(), "done", state.count(machineDone))
+	}
+	for number := range c.waves {
+		if !slices.ContainsFunc(waves, func(w platform.Wave) bool { return w.Number == number }) {
+			c.dropWave(number)
+		}
+	}
+}
+
+func (c *Core) dropWave(number int) {
+	c.Log("wave withdrawn", "wave", number)
+	for _, m := range c.waves[number].machines {
+		if m.state == machinePreparing {
+			c.uncordon(m.name)
+		}
+	}
+	delete(c.waves, number)
+}
+
+// WavesOpen reports whether the list of machines is needed.
+func (c *Core) WavesOpen() bool {
+	for _, w := range c.waves {
+		if !w.succeeded {
+			return true
+		}
+	}
+	return false
+}
+
+// WaveRecords returns the waves whose state is to be stored.
+func (c *Core) WaveRecords() []WaveRecord {
+	var records []WaveRecord
+	for _, w := range c.waves {
+		if w.stored {
+			continue
+		}
+		w.stored = true
+		record := WaveRecord{Number: w.Number, StartedMS: w.startedMS, Succeeded: w.succeeded}
+		for _, m := range w.machines {
+			if m.state == machineDone {
+				record.Done = append(record.Done, m.name)
+			}
+		}
+		slices.Sort(record.Done)
+		records = append(records, record)
+	}
+	return records
+}
+
+func (w *wave) count(state machineState) int {
+	n := 0
+	for _, m := range w.machines {
+		if m.state == state {
+			n++
+		}
+	}
+	return n
+}
+
+// SetMachines takes over the platform's list of machines.
+func (c *Core) SetMachines(machines []platform.Machine) {
+	c.machines = make(map[string]platform.Machine, len(machines))
+	for _, m := range machines {
+		c.machines[m.Name] = m
+	}
+	for _, w := range c.waves {
+		for _, m := range w.machines {
+			c.compareMachine(w, m)
+		}
+	}
+}
+
+func (c *Core) compareMachine(w *wave, m *waveMachine) {
+	listed, ok := c.machines[m.name]
+	if ok {
+		m.missing = 0
+		if m.state == machineDown && listed.Phase == platform.MachineUp && listed.Upstream != m.old &&
+			c.now > m.since+c.Bounds.Upkeep {
+			c.machineBack(w, m, "list")
+		}
+		return
+	}
+	m.missing++
+	if m.missing >= missingIsGone && m.state != machineDone {
+		c.Log("machine of a wave is gone", "wave", w.Number, "machine", m.name)
+		c.machineBack(w, m, "gone")
+	}
+}
+
+// upstreamOf returns the upstream that is the present life of a machine.
+func (c *Core) upstreamOf(machine string) *upstream {
+	if listed, ok := c.machines[machine]; ok && listed.Upstream != "" {
+		if up := c.upstreams[listed.Upstream]; up != nil && up.listed {
+			return up
+		}
+	}
+	for _, up := range c.upstreams {
+		if up.Machine == machine && up.listed {
+			return up
+		}
+	}
+	return nil
+}
+
+// upkeep moves the waves on.
+func (c *Core) upkeep() {
+	if c.machines == nil || c.now < c.Claimed+c.Bounds.Holder+holderMargin {
+		return // an earlier holder's orders may still be on their way
+	}
+	for _, w := range c.waves {
+		if w.succeeded {
+			continue
+		}
+		for _, m := range w.machines {
+			c.advanceMachine(w, m)
+		}
+		c.beginMachines(w)
+		if w.count(machineDone) == len(w.machines) {
+			w.succeeded, w.stored = true, false
+			c.Log("wave done", "wave", w.Number, "took_ms", c.wallMS-w.startedMS)
+		}
+	}
+}
+
+// cycle is how long one machine of a wave is out of service.
+func (c *Core) cycle() time.Duration { return c.Bounds.Upkeep + upkeepOverhead + drainPatience/2 }
+
+// wanted returns how many machines should be out of service at once for the wave to be done in time.
+func (c *Core) wanted(w *wave) int {
+	left := w.Within - time.Duration(c.wallMS-w.startedMS)*time.Millisecond
+	left = max(time.Duration(float64(left)/upkeepHaste), c.cycle())
+	todo := len(w.machines) - w.count(machineDone)
+	return max(1, int((time.Duration(todo)*c.cycle()+left-1)/left))
+}
+
+// beginMachines prepares as many machines as the wave needs, those of the pools with the most room first.
+func (c *Core) beginMachines(w *wave) {
+	wanted := c.wanted(w)
+	active := w.count(machinePreparing) + w.count(machineOrdered) + w.count(machineDown)
+	if active >= wanted {
+		return
+	}
+	var waiting []*waveMachine
+	for _, m := range w.machines {
+		if m.state == machineWaiting && c.now >= m.retryAt {
+			waiting = append(waiting, m)
+		}
+	}
+	cost := map[*waveMachine]float64{}
+	for _, m := range waiting {
+		cost[m] = c.emptyingCost(m)
+	}
+	slices.SortFunc(waiting, func(a, b *waveMachine) int {
+		return cmp.Or(cmp.Compare(cost[a], cost[b]), cmp.Compare(a.name, b.name))
+	})
+	for _, m := range waiting {
+		if active >= wanted {
+			return
+		}
+		active++
+		m.state, m.since = machinePreparing, c.now
+		if up := c.upstreamOf(m.name); up != nil {
+			up.cordoned = true
+		}
+		c.Log("machine is emptied for its upkeep", "wave", w.Number, "machine", m.name, "active", active, "wanted", wanted)
+	}
+}
+
+// emptyingCost rates how much it hurts to take a machine out now: the load of its pool, and what runs on it.
+func (c *Core) emptyingCost(m *waveMachine) float64 {
+	up := c.upstreamOf(m.name)
+	if up == nil {
+		return 0
+	}
+	var capacity, used int64
+	for _, other := range c.pool(up.Pool).upstreams {
+		if c.isUsable(other) {
+			capacity += other.Capacity.MilliCPU
+			used += other.used.MilliCPU
+		}
+	}
+	return float64(used)/float64(max(capacity, 1)) + float64(up.used.MilliCPU)/float64(max(up.Capacity.MilliCPU, 1))
+}
+
+func (c *Core) uncordon(machine string) {
+	if up := c.upstreamOf(machine); up != nil {
+		up.cordoned = false
+	}
+}
+
+func (c *Core) advanceMachine(w *wave, m *waveMachine) {
+	switch m.state {
+	case machinePreparing:
+		up := c.upstreamOf(m.name)
+		if up != nil {
+			up.cordoned = true
+			if !c.emptied(up, m) {
+				return
+			}
+		}
+		if w.count(machineOrdered)+w.count(machineDown) >= w.AtOnce || c.elsewhereDown(w) >= w.AtOnce {
+			return
+		}
+		m.old, m.oldBorn = "", 0
+		if up != nil {
+			m.old, m.oldBorn = up.ID, up.Born
+		}
+		c.order(w, m)
+	case machineOrdered:
+		if m.retryAt > 0 && c.now >= m.retryAt {
+			c.order(w, m)
+		}
+	case machineDown:
+		up := c.upstreamOf(m.name)
+		if up != nil && (up.ID != m.old || up.Born > m.oldBorn) && c.now > m.since+c.Bounds.Upkeep/2 {
+			up.cordoned = false
+			c.machineBack(w, m, "entry")
+		}
+	}
+}
+
+// elsewhereDown counts machines of the wave that the list shows in upkeep and that this owner has not ordered: an
+// earlier owner did.
+func (c *Core) elsewhereDown(w *wave) int {
+	n := w.count(machineOrdered) + w.count(machineDown)
+	for _, m := range w.machines {
+		if m.state != machineOrdered && m.state != machineDown && c.machines[m.name].Phase == platform.MachineUpkeep {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) order(w *wave, m *waveMachine) {
+	m.state, m.retryAt, m.since = machineOrdered, 0, c.now
+	c.Log("upkeep ordered", "wave", w.Number, "machine", m.name, "upstream", m.old, "down", w.count(machineDown))
+	c.calls = append(c.calls, Upkeep{Machine: m.name, Wave: w.Number})
+}
+
+// emptied reports whether nothing runs on a machine's upstream. It moves long-running tasks away, one of a step at a
+// time, and stops the others after a while.
+func (c *Core) emptied(up *upstream, m *waveMachine) bool {
+	patient := c.now < m.since+drainPatience
+	for _, r := range up.runs {
+		switch {
+		case r.state != runRunning:
+		case r.part.step.LongRunning:
+			if c.maySpare(r) {
+				c.stop(r, "upkeep of its machine")
+			}
+		case !patient:
+			c.stop(r, "upkeep of its machine")
+		}
+	}
+	return len(up.runs) == 0
+}
+
+// maySpare reports whether one more task of a long-running step may be away.
+func (c *Core) maySpare(r *run) bool {
+	if r.part.step.MayMiss == 0 {
+		return true
+	}
+	away := 0
+	for i := range r.part.tasks {
+		if i != r.index && !r.part.tasks[i].atWork() {
+			away++
+		}
+	}
+	return away < r.part.step.MayMiss
+}
+
+// atWork reports whether a run of a long-running task has passed its start-up.
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.state == runRunning && r.progress >= fullPace && r.up.failedLooks == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) machineBack(w *wave, m *waveMachine, how string) {
+	c.Log("machine back from upkeep", "wave", w.Number, "machine", m.name, "how", how,
+		"took_ms", (c.now - m.since).Milliseconds(), "left", len(w.machines)-w.count(machineDone)-1)
+	m.state = machineDone
+	w.stored = false
+}
+
+// UpkeepAnswered handles the answer to an Upkeep.
+func (c *Core) UpkeepAnswered(call Upkeep, err error) {
+	w := c.waves[call.Wave]
+	if w == nil || w.machines[call.Machine] == nil || w.machines[call.Machine].state != machineOrdered {
+		return
+	}
+	m := w.machines[call.Machine]
+	switch {
+	case err == nil:
+		m.state, m.since = machineDown, c.now
+		if up := c.upstreams[m.old]; up != nil && up.Born == m.oldBorn {
+			c.lose(up, "its machine is in upkeep")
+			up.gone, up.settled, up.listed = true, true, false
+		}
+	case isCertain(err):
+		// Nothing was done: the machine stays in service until another try.
+		m.state, m.retryAt = machineWaiting, c.now+busyRetry
+		c.uncordon(m.name)
+		c.Log("upkeep refused", "wave", w.Number, "machine", m.name, "error", err.Error())
+	default:
+		m.retryAt = c.now + upkeepRetry
+		c.Log("upkeep got no answer", "wave", w.Number, "machine", m.name, "error", err.Error())
+	}
+}
+
+// isCertain reports whether an error means that nothing was done.
+func isCertain(err error) bool {
+	for _, certain := range []error{
+		platform.ErrNotDone, platform.ErrMachineBusy, platform.ErrMachineFenced, platform.ErrNotOfWave, platform.ErrNoMachine,
+	} {
+		if errors.Is(err, certain) {
+			return true
+		}
+	}
+	return false
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -82,6 +82,9 @@
 // SetUpstream takes over an upstream's entry in the store.
 func (c *Core) SetUpstream(entry platform.Upstream) {
 	up := c.upstreams[entry.ID]
+	if up != nil && up.gone && entry.Born <= up.Born && up.Address == entry.Address {
+		return // the entry outlives the upstream
+	}
 	if up != nil && (up.Address != entry.Address || up.Pool != entry.Pool) {
 		c.lose(up, "its entry names another address or pool")
 		c.remove(up)
@@ -167,7 +170,7 @@
 	c.lose(up, "it has started anew")
 	up.Born = born
 	up.endSeen, up.acked, up.ackSent, up.ends = 0, 0, 0, nil
-	up.fenced, up.settled, up.maxDeadline, up.clockMS = false, true, 0, 0
+	up.fenced, up.settled, up.gone, up.cordoned, up.maxDeadline, up.clockMS = false, true, false, false, 0, 0
 	up.nextLook = c.now
 	up.trouble = trouble{}
 }
