--- /dev/null
+++ b/schedule/lease_test.go
@@ -0,0 +1,64 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
+)
+
+// Guards against looks without an answer extending the lease of an upstream for ever: its tasks were never started
+// elsewhere (LOST on a drawn day of kainlena: a long-running task did not run for 14 s).
+func TestUnansweredLooksDoNotExtendTheLease(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.job(1, 1, 1000)
+	first := b.decide()
+	is.Equal(len(first.starts), 1)
+	b.accept(first.starts)
+	b.upstream("u-2")
+	deadline := b.now + testLease + time.Second
+	restarted := false
+	looks := first.looks
+	for b.now < deadline && !restarted {
+		for _, look := range looks {
+			if look.Target.ID == "u-1" {
+				b.core.Looked(look, platform.Lists{}, errors.Wrap(platform.ErrUnanswered, "dark"))
+			} else {
+				b.answer(look, platform.Lists{})
+			}
+		}
+		b.at(50 * time.Millisecond)
+		next := b.decide()
+		looks = next.looks
+		for _, start := range next.starts {
+			is.Equal(start.Target.ID, "u-2")
+			is.True(start.Order.Attempt > first.starts[0].Order.Attempt)
+			restarted = true
+		}
+	}
+	is.True(restarted) // within the lease and a second
+}
+
+// Guards against starts beside runs whose room is not known: an upstream that still ran tasks of ended jobs after a
+// change of owner was brought over its capacity (LIMIT on karri trouble-3).
+func TestRunsOfUnknownJobsKeepStartsAway(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	foreign := platform.Running{Task: job.TaskID{Job: "00000000000000ff"}, Attempt: 1}
+	b.fence(platform.Lists{Running: []platform.Running{foreign}})
+	b.job(1, 1, 1000)
+	next := b.decide()
+	is.Equal(len(next.starts), 0)
+	is.Equal(len(next.looks), 1) // until it has ended
+	b.answer(next.looks[0], platform.Lists{})
+	b.at(100 * time.Millisecond)
+	is.Equal(len(b.decide().starts), 1)
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -225,11 +225,11 @@
 		up.looking = true
 		up.lookSeq++
 		order := platform.LookOrder{Token: c.Token, AckedSeq: up.acked}
-		if len(up.runs) > 0 && up.fenced {
+		// An upstream that does not answer keeps its lease as it is: what runs there has to end at a known time.
+		if len(up.runs) > 0 && up.fenced && up.failedLooks == 0 {
 			order.DeadlineMS = c.extendLease(up)
-			if up.failedLooks == 0 && up.acked == up.ackSent {
-				order.Wait = lookWait
-			} else if up.failedLooks == 0 {
+			order.Wait = lookWait
+			if up.acked > up.ackSent {
 				order.Wait = lookWait / 2
 			}
 		}
