--- a/cmd/citrongauge/main.go
+++ b/cmd/citrongauge/main.go
@@ -53,7 +53,15 @@
 		return err
 	}
 	ctx, _ := shutdownContexts()
-	return entry.New(settings, os.Stdout).Run(ctx)
+	host := entry.New(settings, os.Stdout)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		for range reload {
+			host.Reload(command.String("settings"))
+		}
+	}()
+	return host.Run(ctx)
 }
 
 func run(_ context.Context, command *cli.Command) error {
--- a/entry/host.go
+++ b/entry/host.go
@@ -40,7 +40,7 @@
 
 // Host is an entry host.
 type Host struct {
-	settings platform.Settings
+	settings platform.Settings // as read at the start
 	log      *eventlog.Log
 	metrics  *metrics
 	operator *operator.Follower
@@ -114,6 +114,20 @@
 	return nil
 }
 
+// Reload reads the settings file again. The bounds are in force at once for the ownerships that follow; addresses are
+// those of the start, as listeners and connections depend on them. A file that cannot be read changes nothing.
+func (h *Host) Reload(path string) {
+	next, err := platform.LoadSettings(path)
+	if err != nil {
+		h.log.Error("reload", "host", h.settings.Host, "error", err, "outcome", "settings unchanged")
+		return
+	}
+	h.owner.SetBounds(next.Bounds)
+	fixed := next
+	fixed.Bounds = h.settings.Bounds
+	h.log.Event("reload", "host", h.settings.Host, "outcome", "bounds in force", "restart_needed", fixed != h.settings)
+}
+
 func limitMemory(megabytes int) {
 	if megabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -55,10 +55,18 @@
 type Owner struct {
 	Options
 	owning atomic.Bool
+	bounds atomic.Pointer[platform.Bounds]
 }
 
 // New returns an owner that does nothing until Run.
-func New(options Options) *Owner { return &Owner{Options: options} }
+func New(options Options) *Owner {
+	o := &Owner{Options: options}
+	o.SetBounds(options.Settings.Bounds)
+	return o
+}
+
+// SetBounds replaces the platform's bounds for the ownerships that follow.
+func (o *Owner) SetBounds(bounds platform.Bounds) { o.bounds.Store(&bounds) }
 
 // Owning reports whether this host owns the fleet.
 func (o *Owner) Owning() bool { return o.owning.Load() }
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -65,8 +65,9 @@
 
 func newReign(o *Owner, ownership *ledger.Ownership, lease *leaseKeeper) *reign {
 	r := &reign{Owner: o, ownership: ownership, lease: lease, events: make(chan func(*reign), eventBuffer)}
+	bounds := *o.bounds.Load()
 	r.core = schedule.New(schedule.Options{
-		Bounds: o.Settings.Bounds, Lease: min(upstreamLease, o.Settings.Bounds.MaxLease),
+		Bounds: bounds, Lease: min(upstreamLease, bounds.MaxLease),
 		Generation: ownership.Generation, Token: ownership.Token, Claimed: steady.Now(), Log: o.Log,
 	})
 	r.core.Observe = o.Observe.JobEnded
