schedule: settle runs only by proof

A look decides now, and no upkeep is ordered for an upstream that does not answer. - a start whose first copy got no answer was given up when the second copy was refused or not sent; the first copy can still be carried out. Such a run is stopped first. - deadlines were computed ahead of clocks that run slow, so that leases could outlast what a later owner waits for.

--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -40,6 +40,8 @@
 	orders  int    // orders of the present kind that got no answer
 	retryAt time.Duration
 	pending bool // an order is on its way
+	// floating is set once a copy of the start got no answer: it may be carried out at any time from then on.
+	floating bool
 
 	progress int // percent; 100 for a long-running task that is at work
 	pace     int // percent that was confirmed
@@ -194,6 +196,7 @@
 	}
 	r.pending = false
 	r.asked = r.up.lookSeq
+	r.up.readClock(clockMS, c.now)
 	var refused *platform.RefusedError
 	switch {
 	case err == nil:
@@ -204,8 +207,7 @@
 		c.startRefused(r, refused)
 	case errors.Is(err, platform.ErrNotDone):
 		r.up.suspect(c, "no connection")
-		c.settle(r)
-		c.requeue(r, "start did not leave this host", "")
+		c.notStarted(r, "start did not leave this host")
 	default:
 		c.startUnanswered(r, err)
 	}
@@ -213,6 +215,7 @@
 
 func (c *Core) startUnanswered(r *run, err error) {
 	r.orders++
+	r.floating = true
 	if r.state == runStarting {
 		r.state = runUnknown
 	}
@@ -245,8 +248,18 @@
 		r.state = runRunning
 		return
 	}
+	c.notStarted(r, "start refused: "+string(refused.Reason))
+}
+
+// notStarted handles a start that did nothing. If an earlier copy of it got no answer, that one may still be carried
+// out: the run is stopped, after which no copy starts it.
+func (c *Core) notStarted(r *run, reason string) {
+	if r.floating {
+		c.stop(r, reason+", and an earlier copy got no answer")
+		return
+	}
 	c.settle(r)
-	c.requeue(r, "start refused: "+string(refused.Reason), "")
+	c.requeue(r, reason, "")
 }
 
 // invalidPause is how long a task waits whose start was called malformed.
@@ -260,6 +273,7 @@
 	}
 	r.pending = false
 	r.asked = r.up.lookSeq
+	r.up.readClock(clockMS, c.now)
 	var refused *platform.RefusedError
 	switch {
 	case err == nil:
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -232,7 +232,7 @@
 	}
 	var waiting []*waveMachine
 	for _, m := range w.machines {
-		if m.state == machineWaiting && c.now >= m.retryAt {
+		if m.state == machineWaiting && c.now >= m.retryAt && c.isReachable(m) {
 			waiting = append(waiting, m)
 		}
 	}
@@ -256,6 +256,12 @@
 	}
 }
 
+// isReachable reports whether a machine's upstream answers, or there is none.
+func (c *Core) isReachable(m *waveMachine) bool {
+	up := c.upstreamOf(m.name)
+	return up == nil || up.fenced && up.failedLooks == 0
+}
+
 // emptyingCost rates how much it hurts to take a machine out now: the load of its pool, and what runs on it.
 func (c *Core) emptyingCost(m *waveMachine) float64 {
 	up := c.upstreamOf(m.name)
@@ -284,7 +290,7 @@
 		up := c.upstreamOf(m.name)
 		if up != nil {
 			up.cordoned = true
-			if !c.emptied(up, m) {
+			if !up.fenced || up.failedLooks > 0 || !c.emptied(up, m) {
 				return
 			}
 		}
@@ -302,6 +308,11 @@
 		}
 	case machineDown:
 		up := c.upstreamOf(m.name)
+		if up != nil && up.ID == m.old && up.Born == m.oldBorn && up.heardAt > m.since {
+			up.cordoned, up.probe = false, false
+			c.machineBack(w, m, "done before")
+			return
+		}
 		if up != nil && (up.ID != m.old || up.Born > m.oldBorn) && c.now > m.since+c.Bounds.Upkeep/2 {
 			up.cordoned = false
 			c.machineBack(w, m, "entry")
@@ -385,10 +396,11 @@
 	m := w.machines[call.Machine]
 	switch {
 	case err == nil:
+		// The answer is the same if the upkeep was done before, by an earlier owner: then the upstream lives on, and
+		// a look shows it.
 		m.state, m.since = machineDown, c.now
-		if up := c.upstreams[m.old]; up != nil && up.Born == m.oldBorn {
-			c.lose(up, "its machine is in upkeep")
-			up.gone, up.settled, up.listed = true, true, false
+		if up := c.upstreams[m.old]; up != nil {
+			up.probe = true
 		}
 	case isCertain(err):
 		// Nothing was done: the machine stays in service until another try.
--- /dev/null
+++ b/schedule/upkeep_test.go
@@ -0,0 +1,124 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
+)
+
+func testWave(atOnce int, machines ...string) []platform.Wave {
+	return []platform.Wave{{Number: 1, Machines: machines, Within: 20 * time.Second, AtOnce: atOnce}}
+}
+
+func (b *bench) machines(ids ...string) {
+	var list []platform.Machine
+	for _, id := range ids {
+		list = append(list, platform.Machine{Name: "m-" + id, Pool: testPool, Phase: platform.MachineUp, Upstream: id})
+	}
+	b.core.SetMachines(list)
+}
+
+// order waits for the first upkeep order.
+func (b *bench) order() calls {
+	for range 200 {
+		if next := b.decide(); len(next.upkeeps) > 0 {
+			return next
+		} else {
+			b.answerAll(next, nil)
+		}
+		b.at(50 * time.Millisecond)
+	}
+	b.t.Fatal("no upkeep was ordered")
+	return calls{}
+}
+
+// answerAll answers looks with the given running rows by upstream, and starts and stops with success.
+func (b *bench) answerAll(c calls, running map[string][]platform.Running) {
+	for _, look := range c.looks {
+		b.answer(look, platform.Lists{Running: running[look.Target.ID]})
+	}
+	b.accept(c.starts)
+	for _, stop := range c.stops {
+		b.core.Stopped(stop, 0, nil)
+	}
+}
+
+// Guards against taking an upstream for gone because the order for its machine's upkeep was accepted: the answer is
+// the same where an earlier owner had it done (TWICE on karri trouble-1, seed 592788477009: tasks that the upstream
+// still ran were started elsewhere).
+func TestUpkeepThatWasDoneBeforeLeavesTheUpstream(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.core.SetWaves(testWave(1, "m-u-1"), nil)
+	b.fence(platform.Lists{})
+	b.machines("u-1")
+	ordered := b.order()
+	b.core.UpkeepAnswered(ordered.upkeeps[0], nil)
+	b.at(50 * time.Millisecond)
+	next := b.decide()
+	is.Equal(len(next.looks), 1) // whether the upstream lives on
+	b.answer(next.looks[0], platform.Lists{})
+	b.at(100 * time.Millisecond)
+	b.job(1, 1, 1000)
+	b.decide()
+	b.at(100 * time.Millisecond)
+	b.decide()
+	records := b.core.WaveRecords()
+	is.Equal(records[len(records)-1].Done, []string{"m-u-1"})
+	known, _ := b.core.Upstreams()
+	is.Equal(known, 1)
+}
+
+// Guards against an upkeep of a machine whose upstream was not reached since the claim: an earlier owner's tasks may
+// run there.
+func TestNoUpkeepOfAnUpstreamThatDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.core.SetWaves(testWave(1, "m-u-1"), nil)
+	b.machines("u-1")
+	for range 100 {
+		next := b.decide()
+		is.Equal(len(next.upkeeps), 0)
+		for _, look := range next.looks {
+			b.core.Looked(look, platform.Lists{}, platform.ErrUnanswered)
+		}
+		b.at(100 * time.Millisecond)
+	}
+}
+
+// Guards against taking more tasks of a long-running step away at once than it may miss (AVAIL).
+func TestUpkeepKeepsLongRunningTasksAtWork(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	for _, id := range []string{"u-1", "u-2", "u-3", "u-4"} {
+		b.upstream(id)
+	}
+	b.fence(platform.Lists{})
+	b.add(1, job.Step{
+		Count: 3, Request: job.Resources{MilliCPU: 6000}, LongRunning: true, PerHost: 1, MayMiss: 1,
+		Estimate: time.Second,
+	})
+	running := map[string][]platform.Running{}
+	first := b.decide()
+	is.Equal(len(first.starts), 3)
+	for _, start := range first.starts {
+		running[start.Target.ID] = []platform.Running{{Task: start.Order.Task, Attempt: start.Order.Attempt, Percent: 100}}
+	}
+	b.answerAll(first, nil)
+	b.core.SetWaves(testWave(4, "m-u-1", "m-u-2", "m-u-3", "m-u-4"), nil)
+	b.machines("u-1", "u-2", "u-3", "u-4")
+	stopped := 0
+	for range 100 {
+		b.at(100 * time.Millisecond)
+		next := b.decide()
+		stopped += len(next.stops)
+		b.answerAll(next, running)
+	}
+	is.True(stopped <= 1) // nothing has come to work elsewhere meanwhile
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -21,8 +21,9 @@
 
 	drainingSince time.Duration
 	cordoned      bool // kept free for its machine's upkeep or move
+	probe         bool // to be looked at though nothing runs there
 
-	// clockMS was read at clockAt. Its clock has advanced by at most the time that has passed since.
+	// clockMS was read at clockAt. The clock has advanced by the time that has passed since, or up to 2% less.
 	clockMS     int64
 	clockAt     time.Duration
 	maxDeadline int64 // latest lease deadline in any order that may have reached it
@@ -58,9 +59,16 @@
 
 func (u *upstream) room() job.Resources { return u.Capacity.Sub(u.used) }
 
-// clockNow returns the upstream's clock, or a time slightly ahead of it.
+// clockNow returns a time that the upstream's clock has reached, however slow it runs.
 func (u *upstream) clockNow(now time.Duration) int64 {
-	return u.clockMS + (now - u.clockAt).Milliseconds()
+	return u.clockMS + int64(slowestClock*float64((now-u.clockAt).Milliseconds()))
+}
+
+// readClock notes the upstream's clock from an answer; 0 stands for none.
+func (u *upstream) readClock(clockMS int64, now time.Duration) {
+	if clockMS > u.clockMS {
+		u.clockMS, u.clockAt = clockMS, now
+	}
 }
 
 // leaseEnd returns the time by which everything on the upstream has lapsed, whichever orders reached it.
@@ -242,7 +250,7 @@
 	switch {
 	case !up.fenced:
 		return up.listed || up.stored
-	case len(up.runs) > 0 || up.foreign > 0:
+	case len(up.runs) > 0 || up.foreign > 0 || up.probe:
 		return true
 	}
 	return up.acked > up.ackSent
@@ -284,7 +292,7 @@
 	}
 	first := !up.fenced
 	up.fenced, up.settled = true, true
-	up.clockMS, up.clockAt = lists.ClockMS, c.now
+	up.readClock(lists.ClockMS, c.now)
 	up.ackSent = max(up.ackSent, look.Order.AckedSeq)
 	c.handleEnds(up, lists.Ended)
 	c.handleRunning(up, lists.Running, look.seq)
