schedule: move machines to the pools that need them

Change: every 150 ms the capacity of each pool is compared with what runs, waits and was accepted lately; missing machines come from the spare pool, then from the pool with the most room left, only ones on which nothing runs. Each order for a machine has a token above that of the one before it, so that a late copy is fenced off.

--- a/owner/reign.go
+++ b/owner/reign.go
@@ -32,6 +32,7 @@
 	// listGap is the pause between two readings of the list of machines while a wave is open. A machine that comes
 	// back is noticed by its upstream's entry; the list shows machines that have gone, and their pools.
 	listGap        = 2 * time.Second
+	idleListGap    = 8 * time.Second
 	machineTimeout = 1500 * time.Millisecond
 	// upstreamLease is how long tasks run on without word from the owner. It rides out a change of owner and a short
 	// outage of the store; a task on an upstream that was cut off starts again elsewhere after it.
@@ -394,13 +395,22 @@
 	case schedule.Ask:
 		return r.askAdvice(ctx, call)
 	case schedule.Upkeep:
-		holder := platform.Holder{Host: r.Host, Token: r.ownership.Token}
-		err := r.Machines.Upkeep(ctx, holder, call.Machine, call.Wave, machineTimeout)
+		err := r.Machines.Upkeep(ctx, r.holder(call.Number), call.Machine, call.Wave, machineTimeout)
 		return func(r *reign) { r.core.UpkeepAnswered(call, err) }
+	case schedule.Move:
+		err := r.Machines.Move(ctx, r.holder(call.Number), call.Machine, call.Pool, machineTimeout)
+		return func(r *reign) { r.core.MoveAnswered(call, err) }
 	}
 	return nil
 }
 
+// ordersPerOwner bounds the orders for machines of one ownership; their numbers follow the ownership's token.
+const ordersPerOwner = 1 << 20
+
+func (r *reign) holder(number uint64) platform.Holder {
+	return platform.Holder{Host: r.Host, Token: r.ownership.Token*ordersPerOwner + number}
+}
+
 func (r *reign) askAdvice(ctx context.Context, ask schedule.Ask) func(*reign) {
 	if r.Advice == nil {
 		return func(r *reign) { r.core.Advised(ask, platform.Tickets{}, errors.New("no advice service is known")) }
@@ -561,17 +571,20 @@
 	return writes
 }
 
-// listMachines reads the list of machines in the background while a wave is open.
+// listMachines reads the list of machines in the background, more often while a wave is open.
 func (r *reign) listMachines(ctx context.Context) {
 	now := steady.Now()
-	if r.Machines == nil || r.listing || now < r.listAgain || !r.core.WavesOpen() {
+	if r.Machines == nil || r.listing || now < r.listAgain {
 		return
 	}
 	r.listing = true
 	go func() {
 		machines, err := r.Machines.List(ctx, machineTimeout)
 		r.post(ctx, func(r *reign) {
-			r.listing, r.listAgain = false, steady.Now()+listGap
+			r.listing, r.listAgain = false, steady.Now()+idleListGap
+			if r.core.WavesOpen() || err != nil {
+				r.listAgain = steady.Now() + listGap
+			}
 			if err != nil {
 				r.Log("list of machines not read", "error", err.Error())
 				return
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -64,6 +64,13 @@
 	bundleSet bool
 	waves     map[int]*wave
 	machines  map[string]platform.Machine // nil: the list was not read yet
+	spare     map[string]bool             // pools whose machines are off
+	moves     map[string]*machineMove     // by machine
+	moveAgain map[string]time.Duration    // when a machine whose move was refused may be tried again
+	sizeAgain time.Duration
+	// machineOrders numbers the orders for machines. A copy of an earlier order that is carried out late has a lower
+	// fencing token than a newer one.
+	machineOrders uint64
 
 	calls   []Call
 	outdone bool // an upstream has seen a higher token
@@ -85,13 +92,14 @@
 
 // Stats count what the core did.
 type Stats struct {
-	Starts, Done, Failed, Requeued, Stops, Looks, Refused int
+	Starts, Done, Failed, Requeued, Stops, Looks, Refused, Moves int
 }
 
 type pool struct {
 	name      string
 	upstreams map[string]*upstream
 	parts     map[*part]struct{} // with tasks that are not done and whose turn has come
+	arrived   []arrivedWork
 }
 
 type team struct {
@@ -110,6 +118,7 @@
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, speeds: map[string]*speed{},
 		evacuated: map[string]bool{}, dirty: map[job.ID]*jobState{},
 		endedIDs: map[job.ID]struct{}{}, waves: map[int]*wave{},
+		moves: map[string]*machineMove{}, moveAgain: map[string]time.Duration{},
 	}
 }
 
@@ -164,6 +173,10 @@
 		team := c.team(t.Name)
 		team.cap, team.weight = t.Cap, t.Weight
 	}
+	c.spare = map[string]bool{}
+	for _, p := range bundle.Pools {
+		c.spare[p.Name] = p.Spare
+	}
 	for _, j := range c.jobs {
 		if queue, ok := c.queues[j.Queue.Name]; ok {
 			c.setQueue(j, queue.Queue)
@@ -224,6 +237,7 @@
 	c.expireUpstreams()
 	c.endOverdue()
 	c.upkeep()
+	c.size()
 	c.askAdvice()
 	c.place()
 	c.paceFills()
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -101,6 +101,7 @@
 		return
 	}
 	c.materialize(state, recorded)
+	c.noteArrival(state)
 }
 
 // materialize adds the parts of all occurrences that are due or that progress was recorded for.
--- /dev/null
+++ b/schedule/sizing.go
@@ -0,0 +1,304 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"citrongauge.example/citrongauge/platform"
+)
+
+// Sizing moves machines between pools: queues demand several times their mean for some seconds by turns, which is more
+// than a pool holds, while other pools and the spare pool have room.
+
+const (
+	sizeEvery = 150 * time.Millisecond
+	// demandWindow is the time over which accepted work is averaged to foresee what a pool will need.
+	demandWindow = 800 * time.Millisecond
+	// headroom is the share by which a pool's capacity should exceed its demand.
+	headroom = 0.1
+	// donorReserve is the number of machines that a pool keeps beyond its demand when another pool needs them.
+	donorReserve = 2
+	// moveRetry is the pause before an order without an answer is sent again, moveRefused the time for which a machine
+	// whose move was refused is left alone.
+	moveRetry   = 300 * time.Millisecond
+	moveRefused = 2 * time.Second
+	// joinPatience is how long after the platform's time for a move a machine may take to join its pool.
+	joinPatience = 3 * time.Second
+)
+
+// Move is a machine to be moved to another pool. Number rises with each order for machines, so that a late copy of an
+// earlier one can be fenced off.
+type Move struct {
+	Machine string
+	Pool    string
+	Number  uint64
+}
+
+func (Move) isCall() {}
+
+// machineMove is a move that was ordered and whose machine has not joined its new pool.
+type machineMove struct {
+	Move
+	from     string
+	since    time.Duration
+	accepted bool
+	retryAt  time.Duration // 0: an order is on its way
+	old      string        // upstream at the time of the order
+}
+
+// arrivedWork is work that was accepted for a pool.
+type arrivedWork struct {
+	at       time.Duration
+	coreTime float64 // core-seconds
+}
+
+// poolDemand is what a pool has and needs, in thousandths of a core.
+type poolDemand struct {
+	pool     *pool
+	have     int64 // on upstreams that can be used, and on the way
+	need     int64
+	unit     int64 // capacity of one machine
+	machines int   // that can be used
+}
+
+// noteArrival counts an accepted job's work for the sizing of its pool.
+func (c *Core) noteArrival(j *jobState) {
+	if j.LongRunning() || j.Repeat > 0 || c.now-j.arrival > demandWindow {
+		return
+	}
+	p := c.pool(j.Queue.Pool)
+	p.arrived = append(p.arrived, arrivedWork{c.now, c.workLeft(j) / 1000})
+}
+
+// offered returns the processors that work accepted lately will keep busy, in thousandths of a core.
+func (p *pool) offered(now time.Duration) int64 {
+	for len(p.arrived) > 0 && p.arrived[0].at < now-demandWindow {
+		p.arrived = p.arrived[1:]
+	}
+	total := 0.0
+	for _, work := range p.arrived {
+		total += work.coreTime
+	}
+	return int64(1000 * total / demandWindow.Seconds())
+}
+
+// size orders the moves that the pools need now.
+func (c *Core) size() {
+	if c.now < c.sizeAgain || !c.mayOrderMachines() || !c.bundleSet {
+		return
+	}
+	c.sizeAgain = c.now + sizeEvery
+	c.advanceMoves()
+	var demands []poolDemand
+	for _, p := range c.pools {
+		if !c.spare[p.name] && len(p.upstreams) > 0 {
+			demands = append(demands, c.demandOf(p))
+		}
+	}
+	slices.SortFunc(demands, func(a, b poolDemand) int {
+		return cmp.Or(cmp.Compare(a.have-a.need, b.have-b.need), cmp.Compare(a.pool.name, b.pool.name))
+	})
+	for i := range demands {
+		for demands[i].have < demands[i].need {
+			if !c.pull(&demands[i], demands) {
+				break
+			}
+		}
+	}
+}
+
+// mayOrderMachines reports whether the list of machines is known and no earlier holder's orders are on their way.
+func (c *Core) mayOrderMachines() bool {
+	return c.machines != nil && c.now >= c.Claimed+c.Bounds.Holder+holderMargin
+}
+
+func (c *Core) demandOf(p *pool) poolDemand {
+	d := poolDemand{pool: p}
+	var used int64
+	for _, up := range p.upstreams {
+		if c.isUsable(up) {
+			d.have += up.Capacity.MilliCPU
+			d.machines++
+			used += up.used.MilliCPU
+		}
+		d.unit = max(d.unit, up.Capacity.MilliCPU)
+	}
+	for _, m := range c.moves {
+		if m.Pool == p.name {
+			d.have += d.unit
+		}
+	}
+	need := max(used+c.waitingCPU(p), used+p.offered(c.now)-p.timedCPU())
+	d.need = int64((1 + headroom) * float64(need))
+	return d
+}
+
+// timedCPU returns the processors that timed tasks use on the pool's upstreams.
+func (p *pool) timedCPU() int64 {
+	var sum int64
+	for _, up := range p.upstreams {
+		for _, r := range up.runs {
+			if !r.part.step.LongRunning {
+				sum += r.room.MilliCPU
+			}
+		}
+	}
+	return sum
+}
+
+// waitingCPU returns the processors that the pool's waiting tasks would use, as far as their teams' caps allow.
+func (c *Core) waitingCPU(p *pool) int64 {
+	byTeam := map[*team]int64{}
+	for part := range p.parts {
+		for i := range part.tasks {
+			if part.tasks[i].waits(c.now) {
+				byTeam[part.job.team] += part.step.Room().MilliCPU
+			}
+		}
+	}
+	var sum int64
+	for t, waiting := range byTeam {
+		if t.cap.MilliCPU > 0 {
+			waiting = min(waiting, max(t.cap.MilliCPU-t.used.MilliCPU, 0))
+		}
+		sum += waiting
+	}
+	return sum
+}
+
+// pull orders one machine into a pool, from the spare pool or from the pool with the most room left. It returns false
+// if none can be spared.
+func (c *Core) pull(d *poolDemand, demands []poolDemand) bool {
+	if name := c.spareMachine(); name != "" {
+		c.move(name, nil, d)
+		return true
+	}
+	for i := len(demands) - 1; i >= 0; i-- {
+		donor := &demands[i]
+		if donor.pool == d.pool || donor.have-donor.need < (donorReserve+1)*donor.unit {
+			continue
+		}
+		if up := c.idleUpstream(donor.pool); up != nil {
+			donor.have -= up.Capacity.MilliCPU
+			c.move(up.Machine, up, d)
+			return true
+		}
+	}
+	return false
+}
+
+// spareMachine returns a machine of the spare pool that can be moved, or an empty name.
+func (c *Core) spareMachine() string {
+	best := ""
+	for name, m := range c.machines {
+		if !c.spare[m.Pool] || m.Phase != platform.MachineUp || c.evacuated[m.Zone] || !c.isMovable(name) {
+			continue
+		}
+		if best == "" || name < best {
+			best = name
+		}
+	}
+	return best
+}
+
+// isMovable reports whether nothing else is being done with a machine.
+func (c *Core) isMovable(name string) bool {
+	if c.moves[name] != nil || c.now < c.moveAgain[name] {
+		return false
+	}
+	for _, w := range c.waves {
+		if m := w.machines[name]; m != nil && m.state != machineWaiting && m.state != machineDone {
+			return false
+		}
+	}
+	return true
+}
+
+// idleUpstream returns an upstream of the pool on which nothing runs, or nil.
+func (c *Core) idleUpstream(p *pool) *upstream {
+	var best *upstream
+	for _, up := range p.upstreams {
+		if len(up.runs) > 0 || up.Machine == "" || !c.isUsable(up) || !c.isMovable(up.Machine) {
+			continue
+		}
+		if best == nil || up.ID < best.ID {
+			best = up
+		}
+	}
+	return best
+}
+
+func (c *Core) move(machine string, up *upstream, d *poolDemand) {
+	c.machineOrders++
+	m := &machineMove{
+		Move: Move{Machine: machine, Pool: d.pool.name, Number: c.machineOrders}, from: c.machines[machine].Pool, since: c.now,
+	}
+	if up != nil {
+		m.from, m.old = up.Pool, up.ID
+		up.cordoned = true
+	}
+	c.moves[machine] = m
+	d.have += d.unit
+	c.stats.Moves++
+	c.Log("move", "machine", machine, "from", m.from, "to", d.pool.name, "upstream", m.old, "have", d.have, "need", d.need,
+		"machines", d.machines)
+	c.calls = append(c.calls, m.Move)
+}
+
+// advanceMoves repeats orders without an answer and ends moves whose machine has joined, or does not come.
+func (c *Core) advanceMoves() {
+	for name, m := range c.moves {
+		switch {
+		case !m.accepted && m.retryAt > 0 && c.now >= m.retryAt:
+			m.retryAt = 0
+			c.calls = append(c.calls, m.Move)
+		case m.accepted && c.hasJoined(m):
+			c.Log("machine joined", "machine", name, "pool", m.Pool, "took_ms", (c.now - m.since).Milliseconds())
+			delete(c.moves, name)
+		case m.accepted && c.now > m.since+c.Bounds.Migrate+joinPatience:
+			c.Log("machine did not join", "machine", name, "pool", m.Pool)
+			delete(c.moves, name)
+		}
+	}
+}
+
+// hasJoined reports whether a moved machine's new upstream can be used.
+func (c *Core) hasJoined(m *machineMove) bool {
+	for _, up := range c.pool(m.Pool).upstreams {
+		if up.Machine == m.Machine && up.listed && up.fenced && up.stored {
+			return true
+		}
+	}
+	return false
+}
+
+// MoveAnswered handles the answer to a Move.
+func (c *Core) MoveAnswered(call Move, err error) {
+	m := c.moves[call.Machine]
+	if m == nil || m.Number != call.Number || m.accepted {
+		return
+	}
+	switch {
+	case err == nil:
+		m.accepted, m.since = true, c.now
+		if listed, ok := c.machines[m.Machine]; ok {
+			listed.Pool, listed.Upstream = m.Pool, ""
+			c.machines[m.Machine] = listed
+		}
+		if up := c.upstreams[m.old]; up != nil && up.Pool != m.Pool {
+			c.lose(up, "its machine has moved")
+			up.gone, up.settled, up.listed = true, true, false
+		}
+	case isCertain(err):
+		c.Log("move refused", "machine", m.Machine, "from", m.from, "to", m.Pool, "error", err.Error())
+		delete(c.moves, call.Machine)
+		c.moveAgain[call.Machine] = c.now + moveRefused
+		if up := c.upstreams[m.old]; up != nil {
+			up.cordoned = false
+		}
+	default:
+		m.retryAt = c.now + moveRetry
+		c.Log("move got no answer", "machine", m.Machine, "to", m.Pool, "error", err.Error())
+	}
+}
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -36,7 +36,8 @@
 	old     string // upstream at the time of the order
 	oldBorn int64
 	retryAt time.Duration
-	missing int // lists in a row that did not name it
+	number  uint64 // of the order
+	missing int    // lists in a row that did not name it
 }
 
 const (
@@ -56,6 +57,7 @@
 type Upkeep struct {
 	Machine string
 	Wave    int
+	Number  uint64 // as in Move
 }
 
 func (Upkeep) isCall() {}
@@ -194,8 +196,8 @@
 
 // upkeep moves the waves on.
 func (c *Core) upkeep() {
-	if c.machines == nil || c.now < c.Claimed+c.Bounds.Holder+holderMargin {
-		return // an earlier holder's orders may still be on their way
+	if !c.mayOrderMachines() {
+		return
 	}
 	for _, w := range c.waves {
 		if w.succeeded {
@@ -232,7 +234,7 @@
 	}
 	var waiting []*waveMachine
 	for _, m := range w.machines {
-		if m.state == machineWaiting && c.now >= m.retryAt && c.isReachable(m) {
+		if m.state == machineWaiting && c.now >= m.retryAt && c.moves[m.name] == nil && c.isReachable(m) {
 			waiting = append(waiting, m)
 		}
 	}
@@ -301,6 +303,8 @@
 		if up != nil {
 			m.old, m.oldBorn = up.ID, up.Born
 		}
+		c.machineOrders++
+		m.number = c.machineOrders
 		c.order(w, m)
 	case machineOrdered:
 		if m.retryAt > 0 && c.now >= m.retryAt {
@@ -335,7 +339,7 @@
 func (c *Core) order(w *wave, m *waveMachine) {
 	m.state, m.retryAt, m.since = machineOrdered, 0, c.now
 	c.Log("upkeep ordered", "wave", w.Number, "machine", m.name, "upstream", m.old, "down", w.count(machineDown))
-	c.calls = append(c.calls, Upkeep{Machine: m.name, Wave: w.Number})
+	c.calls = append(c.calls, Upkeep{Machine: m.name, Wave: w.Number, Number: m.number})
 }
 
 // emptied reports whether nothing runs on a machine's upstream. It moves long-running tasks away, one of a step at a
