schedule: record the upstreams of a step before starting there

Cause: after a change of owner, tasks that were not seen running could not be started while any upstream of the pool was out of reach, for up to 5.4 s: an earlier owner might have started them there. Change: the progress record names the upstreams on which tasks of a step may have been started; an upstream is stored before the first start there. A later owner holds back only what may run on an upstream that it cannot reach. Ruled out: storing each start; a step needs one write for each set of new upstreams.

--- a/job/progress.go
+++ b/job/progress.go
@@ -58,6 +58,9 @@
 	Step       int           `cbor:"2,keyasint,omitempty"`
 	Done       []byte        `cbor:"3,keyasint,omitempty"` // bitmap by task index
 	Failures   []TaskFailure `cbor:"4,keyasint,omitempty"`
+	// Hosts are the upstreams on which the part's tasks may have been started. An upstream is recorded before the first
+	// start there, so that a later owner knows where tasks may run that it cannot see.
+	Hosts []string `cbor:"5,keyasint,omitempty"`
 }
 
 // TaskFailure is one attempt that ended in failure. The attempt's number keeps an end that is listed again, to a
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -19,6 +19,8 @@
 	tick = 50 * time.Millisecond
 	// storeGap is the shortest time between two writes of progress, which gathers what ends close together.
 	storeGap = 30 * time.Millisecond
+	// startGap is that time when starts wait for a write.
+	startGap = 10 * time.Millisecond
 	// watchGap is the pause between two watches, which gathers changes into fewer calls.
 	watchGap = 25 * time.Millisecond
 	// watchWait bounds how long a silent connection stays unnoticed.
@@ -422,7 +424,7 @@
 // store writes what has to last, one transaction at a time.
 func (r *reign) store(ctx context.Context) {
 	now := steady.Now()
-	if r.storing || now < r.storeAgain {
+	if r.storing || now < r.storeAgain && !(r.core.StartsWait() && now >= r.storeAgain-storeGap+startGap) {
 		return
 	}
 	if roster, changed := r.core.Roster(); changed {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -72,8 +72,11 @@
 	// fencing token than a newer one.
 	machineOrders uint64
 
-	calls   []Call
-	outdone bool // an upstream has seen a higher token
+	calls []Call
+	// anyUnsettled is set while an upstream exists that was not reached since the claim.
+	anyUnsettled bool
+	planned      []*run // whose upstreams are being recorded
+	outdone      bool   // an upstream has seen a higher token
 
 	round       uint64 // number of the last round of records that was taken
 	durable     uint64 // number of the last round that is stored
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -78,10 +78,16 @@
 	return id
 }
 
-// decide returns the calls of one decision.
+// decide returns the calls of one decision, with those that were waiting for records to be stored.
 func (b *bench) decide() calls {
 	var c calls
-	for _, call := range b.core.Decide() {
+	all := b.core.Decide()
+	if b.core.NeedsStoring() {
+		round, _ := b.core.Take()
+		b.core.Stored(round)
+		all = append(all, b.core.Decide()...)
+	}
+	for _, call := range all {
 		switch call := call.(type) {
 		case schedule.Start:
 			c.starts = append(c.starts, call)
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -37,6 +37,7 @@
 	releasedAt time.Duration // for the waiting time in logs
 	listed     bool          // in its pool's parts
 	tickets    *tickets
+	hosts      map[string]uint64 // round with which an upstream is recorded for the part's tasks
 }
 
 type task struct {
@@ -112,7 +113,7 @@
 		for number := range j.Steps {
 			step := &j.Steps[number]
 			p := &part{
-				job: j, step: step, occurrence: k, number: number, perHost: map[string]int{},
+				job: j, step: step, occurrence: k, number: number, perHost: map[string]int{}, hosts: map[string]uint64{},
 				progress: job.PartProgress{Occurrence: k, Step: number}, tasks: make([]task, step.Count),
 				arrival: c.arrivalOf(j, k),
 			}
@@ -165,6 +166,9 @@
 // restore takes over recorded progress.
 func (p *part) restore(recorded job.PartProgress) {
 	p.progress = recorded
+	for _, id := range recorded.Hosts {
+		p.hosts[id] = 0
+	}
 	for i := range p.tasks {
 		if recorded.IsDone(i) {
 			p.tasks[i].done = true
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -44,10 +44,9 @@
 	if len(usable) == 0 {
 		return
 	}
-	unsettled := p.hasUnsettled()
 	for _, candidate := range c.candidates(p) {
 		part := candidate.part
-		if unsettled && part.job.inherited {
+		if c.mayRunUnseen(part) {
 			continue
 		}
 		if part.step.Gang {
@@ -152,16 +151,32 @@
 	return false
 }
 
+// mayRunUnseen reports whether tasks of the part that are not seen anywhere may run all the same: an earlier owner may
+// have started them on an upstream that was not reached since the claim.
+func (c *Core) mayRunUnseen(p *part) bool {
+	if !p.job.inherited || !c.anyUnsettled {
+		return false
+	}
+	for id := range p.hosts {
+		if up := c.upstreams[id]; up != nil && !up.settled {
+			return true
+		}
+	}
+	return false
+}
+
 // reserve estimates, for each team, what an earlier owner's tasks may use unseen: at most their requests, and at most
 // what the upstreams hold that were not reached since the claim.
 func (c *Core) reserve() {
 	for _, t := range c.teams {
 		t.reserved = job.Resources{}
 	}
+	c.anyUnsettled = false
 	for _, p := range c.pools {
 		if !p.hasUnsettled() {
 			continue
 		}
+		c.anyUnsettled = true
 		var hidden job.Resources
 		for _, up := range p.upstreams {
 			if !up.settled {
@@ -170,7 +185,7 @@
 		}
 		possible := map[*team]job.Resources{}
 		for part := range p.parts {
-			if !part.job.inherited {
+			if !c.mayRunUnseen(part) {
 				continue
 			}
 			for i := range part.tasks {
--- a/schedule/records.go
+++ b/schedule/records.go
@@ -59,9 +59,13 @@
 	return len(c.retired) > 0 && c.retired[0].endedMS < horizon
 }
 
+// StartsWait reports whether starts wait for a record to be stored.
+func (c *Core) StartsWait() bool { return len(c.planned) > 0 }
+
 // Stored confirms that the records of a round are stored. Ends that they cover may now be acknowledged.
 func (c *Core) Stored(round uint64) {
 	c.durable = round
+	c.sendPlanned()
 	for _, up := range c.upstreams {
 		up.advanceAck(round)
 	}
@@ -99,10 +103,14 @@
 		progress.Phase = job.Active
 	}
 	for _, p := range j.parts {
-		if p.done > 0 || len(p.progress.Failures) > 0 {
+		if p.done > 0 || len(p.progress.Failures) > 0 || len(p.progress.Hosts) > 0 {
 			copied := p.progress
 			copied.Done = append([]byte(nil), p.progress.Done...)
 			copied.Failures = append([]job.TaskFailure(nil), p.progress.Failures...)
+			copied.Hosts = append([]string(nil), p.progress.Hosts...)
+			if p.isDone() {
+				copied.Hosts = nil
+			}
 			progress.Parts = append(progress.Parts, copied)
 		}
 	}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -12,7 +12,7 @@
 type runState uint8
 
 const (
-	runUnsent   runState = iota // the start was refused and is to be settled
+	runPlanned  runState = iota // the upstream is being recorded; the start has not been sent
 	runStarting                 // a start is on its way
 	runUnknown                  // a start got no answer
 	runRunning
@@ -65,7 +65,7 @@
 func (c *Core) start(p *part, index int, attempt uint64, up *upstream, ticket string) {
 	t := &p.tasks[index]
 	r := &run{
-		part: p, index: index, attempt: attempt, up: up, state: runStarting, room: p.step.Room(), started: c.now,
+		part: p, index: index, attempt: attempt, up: up, state: runPlanned, room: p.step.Room(), started: c.now,
 		checkpoint: t.checkpoint, checkpointed: t.checkpoint != "", pace: fullPace, paced: fullPace,
 	}
 	t.lastAttempt = attempt
@@ -77,7 +77,42 @@
 	c.Log("start", "job", p.job.ID, "task", r.id().String(), "attempt", attempt, "upstream", up.ID,
 		"free_cpu", up.room().MilliCPU, "waited_ms", (c.now - p.releasedAt).Milliseconds(),
 		"failures", t.failures, "clock_age_ms", (c.now - up.clockAt).Milliseconds())
-	c.sendStart(r, ticket)
+	if c.recordHost(p, up.ID) {
+		c.sendStart(r, ticket)
+	} else {
+		c.planned = append(c.planned, r)
+	}
+}
+
+// recordHost reports whether it is stored that tasks of the part may run on the upstream. If not, it has it stored.
+func (c *Core) recordHost(p *part, id string) bool {
+	round, known := p.hosts[id]
+	if known {
+		return round <= c.durable
+	}
+	p.hosts[id] = c.round + 1
+	p.progress.Hosts = append(p.progress.Hosts, id)
+	c.touch(p.job)
+	return false
+}
+
+// sendPlanned sends the starts whose upstreams are recorded.
+func (c *Core) sendPlanned() {
+	waiting := c.planned[:0]
+	for _, r := range c.planned {
+		switch {
+		case r.dead:
+		case r.part.hosts[r.up.ID] > c.durable:
+			waiting = append(waiting, r)
+		case !c.isUsable(r.up) || (r.part.job.Queue.Advised && c.ticketFor(r.part, r.up) == ""):
+			c.settle(r)
+			c.requeue(r, "its upstream cannot be used any more", "")
+		default:
+			r.started = c.now
+			c.sendStart(r, c.ticketFor(r.part, r.up))
+		}
+	}
+	c.planned = waiting
 }
 
 func (c *Core) sendStart(r *run, ticket string) {
@@ -144,6 +179,10 @@
 	c.Log("stop", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID,
 		"reason", reason, "ran_ms", (c.now - r.started).Milliseconds())
 	c.stats.Stops++
+	if r.state == runPlanned {
+		c.settle(r)
+		return
+	}
 	r.state, r.orders = runStopping, 0
 	c.sendStop(r)
 }
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -361,7 +361,7 @@
 		r.seen(c, row, seq)
 	}
 	for _, r := range up.runs {
-		if r.seenAt == seq || r.asked >= seq || r.state == runUnsent {
+		if r.seenAt == seq || r.asked >= seq || r.state == runPlanned {
 			continue
 		}
 		c.vanished(r)
