--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -18,7 +18,7 @@
 	// headroom is the share by which a pool's capacity should exceed its demand.
 	headroom = 0.1
 	// donorReserve is the number of machines that a pool keeps beyond its demand when another pool needs them.
-	donorReserve = 2
+	donorReserve = 1
 	// moveRetry is the pause before an order without an answer is sent again, moveRefused the time for which a machine
 	// whose move was refused is left alone.
 	moveRetry   = 300 * time.Millisecond
