schedule: park machines that no pool needs in the spare pool

Change: a pool gives machines beyond its demand and a reserve of four to the spare pool after 3 s, but keeps as many as its long-running steps spread over; a machine that is off counts as back when its upkeep is over.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -103,6 +103,8 @@
 	upstreams map[string]*upstream
 	parts     map[*part]struct{} // with tasks that are not done and whose turn has come
 	arrived   []arrivedWork
+	// roomySince is when the pool last needed its machines.
+	roomySince time.Duration
 }
 
 type team struct {
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -19,6 +19,10 @@
 	headroom = 0.1
 	// donorReserve is the number of machines that a pool keeps beyond its demand when another pool needs them.
 	donorReserve = 1
+	// parkReserve is the number of machines that a pool keeps beyond its demand when they are not needed elsewhere. The
+	// others move to the spare pool, where they cost nothing, after parkAfter without work.
+	parkReserve = 4
+	parkAfter   = 3 * time.Second
 	// moveRetry is the pause before an order without an answer is sent again, moveRefused the time for which a machine
 	// whose move was refused is left alone.
 	moveRetry   = 300 * time.Millisecond
@@ -106,6 +110,47 @@
 			}
 		}
 	}
+	for i := range demands {
+		c.park(&demands[i])
+	}
+}
+
+// park moves machines that a pool has not needed for some time to the spare pool.
+func (c *Core) park(d *poolDemand) {
+	p := d.pool
+	if d.have-d.need < (parkReserve+1)*d.unit || d.machines <= p.hostsWanted()+parkReserve {
+		p.roomySince = c.now
+		return
+	}
+	spare := c.sparePool()
+	if spare == "" || c.now < p.roomySince+parkAfter {
+		return
+	}
+	if up := c.idleUpstream(p); up != nil {
+		c.move(up.Machine, up, &poolDemand{pool: c.pool(spare)})
+	}
+}
+
+// hostsWanted returns the number of upstreams over which the pool's steps have to spread.
+func (p *pool) hostsWanted() int {
+	wanted := 0
+	for part := range p.parts {
+		if part.step.PerHost > 0 && part.step.LongRunning {
+			wanted = max(wanted, (part.step.Count+part.step.PerHost-1)/part.step.PerHost)
+		}
+	}
+	return wanted
+}
+
+// sparePool returns the name of a pool whose machines are off, or an empty one.
+func (c *Core) sparePool() string {
+	best := ""
+	for name, spare := range c.spare {
+		if spare && (best == "" || name < best) {
+			best = name
+		}
+	}
+	return best
 }
 
 // mayOrderMachines reports whether the list of machines is known and no earlier holder's orders are on their way.
@@ -253,6 +298,10 @@
 		case !m.accepted && m.retryAt > 0 && c.now >= m.retryAt:
 			m.retryAt = 0
 			c.calls = append(c.calls, m.Move)
+		case m.accepted && c.spare[m.Pool]:
+			if c.now > m.since+c.Bounds.Migrate {
+				delete(c.moves, name)
+			}
 		case m.accepted && c.hasJoined(m):
 			c.Log("machine joined", "machine", name, "pool", m.Pool, "took_ms", (c.now - m.since).Milliseconds())
 			delete(c.moves, name)
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -166,8 +166,9 @@
 	listed, ok := c.machines[m.name]
 	if ok {
 		m.missing = 0
-		if m.state == machineDown && listed.Phase == platform.MachineUp && listed.Upstream != m.old &&
-			c.now > m.since+c.Bounds.Upkeep {
+		// A machine of the spare pool is off: it comes back without an upstream.
+		back := listed.Phase == platform.MachineUp && (listed.Upstream != m.old || c.spare[listed.Pool])
+		if m.state == machineDown && back && c.now > m.since+c.Bounds.Upkeep {
 			c.machineBack(w, m, "list")
 		}
 		return
