--- a/owner/owner.go
+++ b/owner/owner.go
@@ -18,12 +18,14 @@
 )
 
 const (
-	// leaseTTL is how long the fleet is without an owner after one has died. It outlasts short pauses of the store.
-	leaseTTL = 2500 * time.Millisecond
+	// leaseTTL is how long the fleet is without an owner after one has died, or was turned away by the store. Several
+	// renewals fit into it also where the store is slow.
+	leaseTTL = 1500 * time.Millisecond
 	// leaseMargin ends the ownership early on this host, as its clock may run slow relative to the store's.
-	leaseMargin  = 150 * time.Millisecond
-	renewEvery   = 450 * time.Millisecond
-	renewTimeout = 600 * time.Millisecond
+	leaseMargin = 150 * time.Millisecond
+	renewEvery  = 250 * time.Millisecond
+	// renewTimeout is longer than renewEvery: renewals overlap, so that a slow or lost answer delays none.
+	renewTimeout = time.Second
 	callTimeout  = 800 * time.Millisecond
 	// candidateWait is the longest wait of a watch on the owner's key.
 	candidateWait = 1500 * time.Millisecond
@@ -148,8 +150,7 @@
 		return nil, 0, ledger.ErrOwned
 	}
 	since := steady.Now()
-	ttl := max(leaseTTL, o.Settings.Store.MinLease)
-	lease, _, err := o.KV.GrantLease(ctx, ttl, callTimeout)
+	lease, _, err := o.KV.GrantLease(ctx, o.ttl(), callTimeout)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -163,6 +164,8 @@
 	return ownership, since, nil
 }
 
+func (o *Owner) ttl() time.Duration { return max(leaseTTL, o.Settings.Store.MinLease) }
+
 // own uses an ownership until it ends.
 func (o *Owner) own(ctx context.Context, ownership *ledger.Ownership, since time.Duration) {
 	o.Log("ownership claimed", "token", ownership.Token, "generation", ownership.Generation)
@@ -203,12 +206,19 @@
 type leaseKeeper struct {
 	owner *Owner
 	lease uint64
-	until atomic.Int64 // steady time
+	until atomic.Int64 // steady time; never decreases while the lease is kept
+	// failing is set while renewals fail, so that only changes are logged.
+	failing atomic.Bool
 }
 
 func (k *leaseKeeper) renewed(sent time.Duration) {
-	ttl := max(leaseTTL, k.owner.Settings.Store.MinLease)
-	k.until.Store(int64(sent + ttl - leaseMargin))
+	until := int64(sent + k.owner.ttl() - leaseMargin)
+	for {
+		known := k.until.Load()
+		if known >= until || k.until.CompareAndSwap(known, until) {
+			return
+		}
+	}
 }
 
 // left returns how long the lease is still valid for certain.
@@ -217,28 +227,31 @@
 func (k *leaseKeeper) valid() bool { return k.left() > 0 }
 
 func (k *leaseKeeper) run(ctx context.Context, end context.CancelCauseFunc) {
-	failing := false
-	for ctx.Err() == nil {
-		wait := renewEvery
-		if failing {
-			wait = failurePause
-		}
-		pause(ctx, wait)
-		sent := steady.Now()
-		err := k.owner.KV.KeepLease(ctx, k.lease, renewTimeout)
-		switch {
-		case err == nil:
-			if failing {
-				k.owner.Log("lease renewed again", "lease", k.lease, "left_ms", k.left().Milliseconds())
-			}
-			failing = false
-			k.renewed(sent)
-		case errors.Is(err, platform.ErrLeaseEnded):
-			end(errLeaseEnded)
+	ticker := time.NewTicker(renewEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
 			return
-		case ctx.Err() == nil && !failing:
-			failing = true
-			k.owner.Log("lease not renewed", "lease", k.lease, "left_ms", k.left().Milliseconds(), "error", err.Error())
+		case <-ticker.C:
+			go k.renew(ctx, end)
+		}
+	}
+}
+
+// renew sends one renewal.
+func (k *leaseKeeper) renew(ctx context.Context, end context.CancelCauseFunc) {
+	sent := steady.Now()
+	err := k.owner.KV.KeepLease(ctx, k.lease, renewTimeout)
+	switch {
+	case err == nil:
+		if k.failing.Swap(false) {
+			k.owner.Log("lease renewed again", "lease", k.lease, "left_ms", k.left().Milliseconds())
 		}
+		k.renewed(sent)
+	case errors.Is(err, platform.ErrLeaseEnded):
+		end(errLeaseEnded)
+	case ctx.Err() == nil && !k.failing.Swap(true):
+		k.owner.Log("lease not renewed", "lease", k.lease, "left_ms", k.left().Milliseconds(), "error", err.Error())
 	}
 }
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -123,6 +123,9 @@
 
 // step decides and sends. It returns false when the ownership is over.
 func (r *reign) step(ctx context.Context) bool {
+	if r.failure != nil {
+		return false
+	}
 	if !r.lease.valid() {
 		r.failure = errors.New("lease not renewed in time")
 		return false
@@ -486,7 +489,6 @@
 	if err != nil {
 		r.Log("progress not stored", "round", round, "error", err.Error())
 		r.failure = err
-		r.lease.until.Store(0)
 		return
 	}
 	r.core.RosterStored(roster)
