--- a/owner/owner.go
+++ b/owner/owner.go
@@ -93,15 +93,21 @@
 
 // Run competes until ctx ends. An ownership that is held then is given back.
 func (o *Owner) Run(ctx context.Context) {
+	failing := false
 	for ctx.Err() == nil {
 		ownership, since, err := o.claim(ctx)
 		switch {
 		case err == nil:
+			failing = false
 			o.own(ctx, ownership, since)
 		case errors.Is(err, ledger.ErrOwned):
+			failing = false
 			o.waitForChange(ctx)
 		case ctx.Err() == nil:
-			o.Log("ownership not claimed", "error", err.Error())
+			if !failing {
+				o.Log("ownership not claimed", "error", err.Error())
+			}
+			failing = true
 			pause(ctx, failurePause)
 		}
 	}
