--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -186,6 +186,7 @@
 		c.settle(r)
 		return
 	}
+	r.floating = r.mayStartYet()
 	r.state, r.orders = runStopping, 0
 	c.sendStop(r)
 }
