--- /dev/null
+++ b/entry/outcome.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// outcome is how a client's call ended. The codes are listed in docs/ERRORS.md.
+type outcome struct {
+	code   int
+	status int
+	text   string
+}
+
+// Outcomes. 1xxx: done; 2xxx: refused, nothing was run by this call; 3xxx: unknown; 5xxx: the call itself is wrong.
+var (
+	accepted     = outcome{1301, http.StatusOK, "accepted"}
+	stateShown   = outcome{1302, http.StatusOK, "state"}
+	cancelled    = outcome{1303, http.StatusOK, "cancelled"}
+	pendingShown = outcome{1304, http.StatusOK, "pending"}
+
+	noBundle       = outcome{2301, http.StatusServiceUnavailable, "no configuration yet"}
+	bundleUnread   = outcome{2302, http.StatusServiceUnavailable, "the newest configuration cannot be read"}
+	noQueue        = outcome{2303, http.StatusNotFound, "no such queue"}
+	unknownKey     = outcome{2304, http.StatusUnauthorized, "unknown key"}
+	storeSilent    = outcome{2305, http.StatusServiceUnavailable, "the store does not answer; not run"}
+	storeRefused   = outcome{2306, http.StatusServiceUnavailable, "the store refused the job; not run"}
+	bundleChanging = outcome{2307, http.StatusServiceUnavailable, "the configuration keeps changing; not run"}
+	noJob          = outcome{2308, http.StatusGone, "no such job"}
+	storeFailed    = outcome{2309, http.StatusServiceUnavailable, "the store does not answer"}
+
+	jobUncertain = outcome{3301, http.StatusGatewayTimeout, "the store did not answer; the job may exist"}
+
+	badMethod  = outcome{5301, http.StatusMethodNotAllowed, "method not allowed"}
+	badID      = outcome{5302, http.StatusBadRequest, "not a job ID"}
+	badBody    = outcome{5303, http.StatusBadRequest, "the body cannot be read"}
+	largeBody  = outcome{5304, http.StatusRequestEntityTooLarge, "the body is too large"}
+	badRequest = outcome{5305, http.StatusBadRequest, "the job cannot be run as described"}
+)
+
+// body returns the answer's body for outcomes that carry nothing else.
+func (o outcome) body() []byte {
+	return []byte(`{"code":` + strconv.Itoa(o.code) + `,"message":` + strconv.Quote(o.text) + `}`)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -52,9 +52,8 @@
 
 // reply is the answer to one call.
 type reply struct {
-	status int
-	body   []byte
-	reason string // for the log
+	outcome
+	body   []byte // nil: the outcome's own
 	inputs []any  // what decided it, for the log
 }
 
@@ -66,7 +65,7 @@
 		header.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
 	}
 	if r.body == nil {
-		r.body = []byte(`{"reason":` + strconv.Quote(r.reason) + `}`)
+		r.body = r.outcome.body()
 	}
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(r.body)))
@@ -101,7 +100,7 @@
 	case request.Method == http.MethodDelete:
 		r = s.cancel(ctx, c)
 	default:
-		r = reply{status: http.StatusMethodNotAllowed, reason: "5301 method not allowed"}
+		r = reply{outcome: badMethod}
 	}
 	if request.Method != http.MethodGet || r.status >= http.StatusBadRequest {
 		s.logCall(request, c.rest, r, begin)
@@ -111,7 +110,7 @@
 
 func (s *server) logCall(request *http.Request, rest string, r reply, begin time.Time) {
 	fields := append([]any{
-		"job", rest, "method", request.Method, "path", request.URL.Path, "status", r.status, "reason", r.reason,
+		"job", rest, "method", request.Method, "path", request.URL.Path, "status", r.status, "code", r.code, "reason", r.text,
 		"took_ms", time.Since(begin).Milliseconds(), "store_age_ms", s.operator.Age().Milliseconds(),
 	}, r.inputs...)
 	s.log("call", fields...)
@@ -140,8 +139,8 @@
 	}
 	if err := s.operator.Refresh(ctx); err != nil {
 		return call{}, &reply{
-			status: http.StatusServiceUnavailable, reason: "2302 the newest configuration cannot be read",
-			inputs: []any{"error", err.Error(), "would_be", refused.status},
+			outcome: bundleUnread,
+			inputs:  []any{"error", err.Error(), "would_be", refused.status},
 		}
 	}
 	c, refused = s.match(s.operator.State().Bundle, request)
@@ -151,17 +150,17 @@
 // match decides a call by a bundle.
 func (s *server) match(bundle *platform.Bundle, request *http.Request) (call, *reply) {
 	if bundle == nil {
-		return call{}, &reply{status: http.StatusServiceUnavailable, reason: "2301 no configuration yet"}
+		return call{}, &reply{outcome: noBundle}
 	}
 	inputs := []any{"bundle", bundle.Version, "revision", bundle.Revision}
 	queue, rest, ok := findQueue(bundle, request.Host, request.URL.Path)
 	if !ok {
-		return call{}, &reply{status: http.StatusNotFound, reason: "2303 no such queue", inputs: inputs}
+		return call{}, &reply{outcome: noQueue, inputs: inputs}
 	}
 	c := call{queue: queue, rest: rest, bundle: bundle, key: platform.KeyOf(request.Header)}
 	team, known := bundle.TeamOf(c.key)
 	if !known && !queue.Public {
-		return call{}, &reply{status: http.StatusUnauthorized, reason: "2304 unknown key", inputs: inputs}
+		return call{}, &reply{outcome: unknownKey, inputs: inputs}
 	}
 	c.team = team
 	return c, nil
@@ -191,7 +190,7 @@
 func (s *server) submit(ctx context.Context, c call, request *http.Request) reply {
 	id, err := job.ParseID(c.rest)
 	if err != nil {
-		return reply{status: http.StatusBadRequest, reason: "5302 " + err.Error()}
+		return reply{outcome: badID, inputs: []any{"error", err.Error()}}
 	}
 	limit := c.bundle.Limits.BodyBytes
 	if limit <= 0 {
@@ -199,17 +198,17 @@
 	}
 	data, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
 	if err != nil {
-		return reply{status: http.StatusBadRequest, reason: "5303 the body cannot be read", inputs: []any{"error", err.Error()}}
+		return reply{outcome: badBody, inputs: []any{"error", err.Error()}}
 	}
 	if int64(len(data)) > limit {
-		return reply{status: http.StatusRequestEntityTooLarge, reason: "5304 the body is too large"}
+		return reply{outcome: largeBody}
 	}
 	j, err := platform.DecodeSubmission(data)
 	if err != nil {
-		return reply{status: http.StatusBadRequest, reason: "5305 " + err.Error()}
+		return reply{outcome: badRequest, inputs: []any{"error", err.Error()}}
 	}
 	if s.operator.Age() > storeSilence {
-		return reply{status: http.StatusServiceUnavailable, reason: "2305 the store does not answer; not run"}
+		return reply{outcome: storeSilent}
 	}
 	j.ID = id
 	for range bundleTries {
@@ -222,32 +221,32 @@
 			if created != 0 {
 				s.announce(announce.Message{Job: j, Created: created})
 			}
-			return reply{status: http.StatusOK, body: []byte(`{}`), reason: "1301 accepted", inputs: inputs}
+			return reply{outcome: accepted, inputs: inputs}
 		case errors.Is(err, ledger.ErrStaleBundle):
 			if refused := s.readmit(ctx, &c, request); refused != nil {
 				return *refused
 			}
 		case errors.Is(err, platform.ErrNotDone):
 			return reply{
-				status: http.StatusServiceUnavailable, reason: "2306 the store refused the job; not run",
-				inputs: append(inputs, "error", err.Error()),
+				outcome: storeRefused,
+				inputs:  append(inputs, "error", err.Error()),
 			}
 		default:
 			return reply{
-				status: http.StatusGatewayTimeout, reason: "3301 the store did not answer; the job may exist",
-				inputs: append(inputs, "error", err.Error()),
+				outcome: jobUncertain,
+				inputs:  append(inputs, "error", err.Error()),
 			}
 		}
 	}
-	return reply{status: http.StatusServiceUnavailable, reason: "2307 the configuration keeps changing; not run"}
+	return reply{outcome: bundleChanging}
 }
 
 // readmit decides a call again by the newest bundle.
 func (s *server) readmit(ctx context.Context, c *call, request *http.Request) *reply {
 	if err := s.operator.Refresh(ctx); err != nil {
 		return &reply{
-			status: http.StatusServiceUnavailable, reason: "2302 the newest configuration cannot be read",
-			inputs: []any{"error", err.Error()},
+			outcome: bundleUnread,
+			inputs:  []any{"error", err.Error()},
 		}
 	}
 	next, refused := s.match(s.operator.State().Bundle, request)
@@ -260,32 +259,32 @@
 func (s *server) state(ctx context.Context, c call) reply {
 	id, err := job.ParseID(c.rest)
 	if err != nil {
-		return reply{status: http.StatusGone, reason: "2308 no such job"}
+		return reply{outcome: noJob}
 	}
 	view, err := s.ledger.Lookup(ctx, id)
 	switch {
 	case errors.Is(err, ledger.ErrNoJob):
-		return reply{status: http.StatusGone, reason: "2308 no such job"}
+		return reply{outcome: noJob}
 	case err != nil:
 		return s.storeFailed(err)
 	}
-	return reply{status: http.StatusOK, body: platform.EncodePhase(view.Phase()), reason: "1302 state"}
+	return reply{outcome: stateShown, body: platform.EncodePhase(view.Phase())}
 }
 
 func (s *server) cancel(ctx context.Context, c call) reply {
 	id, err := job.ParseID(c.rest)
 	if err != nil {
-		return reply{status: http.StatusGone, reason: "2308 no such job"}
+		return reply{outcome: noJob}
 	}
 	err = s.ledger.Cancel(ctx, id)
 	switch {
 	case errors.Is(err, ledger.ErrNoJob):
-		return reply{status: http.StatusGone, reason: "2308 no such job"}
+		return reply{outcome: noJob}
 	case err != nil:
 		return s.storeFailed(err)
 	}
 	s.announce(announce.Message{Cancelled: id})
-	return reply{status: http.StatusOK, body: []byte(`{}`), reason: "1303 cancelled"}
+	return reply{outcome: cancelled}
 }
 
 func (s *server) pending(ctx context.Context, c call) reply {
@@ -293,13 +292,13 @@
 	if err != nil {
 		return s.storeFailed(err)
 	}
-	return reply{status: http.StatusOK, body: platform.EncodePending(pending[c.queue.Name]), reason: "1304 pending"}
+	return reply{outcome: pendingShown, body: platform.EncodePending(pending[c.queue.Name])}
 }
 
 // storeFailed answers a call that changes nothing, or that may be repeated, when the store cannot be used.
 func (s *server) storeFailed(err error) reply {
 	return reply{
-		status: http.StatusServiceUnavailable, reason: "2309 the store does not answer",
-		inputs: []any{"error", err.Error()},
+		outcome: storeFailed,
+		inputs:  []any{"error", err.Error()},
 	}
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/steady"
 )
@@ -20,7 +18,9 @@
 	// client and one reading.
 	watchWait    = 1200 * time.Millisecond
 	readTimeout  = 800 * time.Millisecond
-	failurePause = 150 * time.Millisecond
+	failurePause = 100 * time.Millisecond
+	// maxFailurePause bounds how long a return of the store stays unnoticed.
+	maxFailurePause = 400 * time.Millisecond
 )
 
 // State is what the operator has written, as read at one time. It is immutable.
@@ -75,18 +75,24 @@
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	wait := failurePause
 	for ctx.Err() == nil {
 		asOf, err := f.readAll(ctx)
 		if err == nil {
+			if wait > failurePause {
+				f.log("store regained", "reader", "operator", "revision", asOf)
+			}
+			wait = failurePause
 			err = f.watch(ctx, asOf)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if !errors.Is(err, platform.ErrCompacted) {
+		if wait == failurePause {
 			f.log("store lost", "reader", "operator", "error", err.Error(), "age_ms", f.Age().Milliseconds())
 		}
-		pause(ctx, failurePause)
+		pause(ctx, wait)
+		wait = min(2*wait, maxFailurePause)
 	}
 }
 
