--- a/schedule/core.go
+++ b/schedule/core.go
@@ -244,6 +244,7 @@
 	c.dueOccurrences()
 	c.expireUpstreams()
 	c.endOverdue()
+	c.leaveDraining()
 	c.upkeep()
 	c.size()
 	c.askAdvice()
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -81,8 +81,7 @@
 		return
 	}
 	state := &jobState{
-		Job: j, created: created, inherited: inherited, team: c.team(j.Team),
-		arrival: c.now - time.Duration(max(c.wallMS-j.AcceptedMS, 0))*time.Millisecond,
+		Job: j, created: created, inherited: inherited, team: c.team(j.Team), arrival: c.now - c.ageOf(j, inherited),
 	}
 	if queue, ok := c.queues[j.Queue.Name]; ok {
 		j.Queue = queue.Queue
@@ -112,6 +111,18 @@
 	c.noteArrival(state)
 }
 
+// maxNewsAge is the longest time that the news of a job takes to its owner. A greater age comes from clocks that differ.
+const maxNewsAge = time.Second
+
+// ageOf returns how long ago a job was accepted, by the clock of the host that accepted it.
+func (c *Core) ageOf(j *job.Job, inherited bool) time.Duration {
+	age := max(time.Duration(c.wallMS-j.AcceptedMS)*time.Millisecond, 0)
+	if !inherited {
+		age = min(age, maxNewsAge)
+	}
+	return age
+}
+
 // materialize adds the parts of all occurrences that are due or that progress was recorded for.
 func (c *Core) materialize(j *jobState, recorded map[job.Part]job.PartProgress) {
 	for j.due < j.Occurrences() && (c.isDue(j, j.due) || hasOccurrence(recorded, j.due)) {
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -361,6 +361,20 @@
 	return up.runs.len() == 0
 }
 
+// leaveDraining moves long-running tasks away from upstreams that are about to leave, one of a step at a time.
+func (c *Core) leaveDraining() {
+	for _, up := range c.upstreams.all() {
+		if !up.Draining || up.failedLooks > 0 {
+			continue
+		}
+		for _, r := range up.runs.all() {
+			if r.state == runRunning && r.part.step.LongRunning && c.maySpare(r) {
+				c.stop(r, "its upstream is draining")
+			}
+		}
+	}
+}
+
 // maySpare reports whether one more task of a long-running step may be away.
 func (c *Core) maySpare(r *run) bool {
 	if r.part.step.MayMiss == 0 {
--- a/schedule/upkeep_test.go
+++ b/schedule/upkeep_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,3 +123,51 @@
 	}
 	is.True(stopped <= 1) // nothing has come to work elsewhere meanwhile
 }
+
+// Guards against long-running tasks that stay on an upstream until it leaves and ends them all at once.
+func TestLongRunningTasksLeaveADrainingUpstream(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.add(1, job.Step{
+		Count: 2, Request: job.Resources{MilliCPU: 1000}, LongRunning: true, MayMiss: 1, Estimate: time.Second,
+	})
+	first := b.decide()
+	is.Equal(len(first.starts), 2)
+	var rows []platform.Running
+	for _, start := range first.starts {
+		rows = append(rows, platform.Running{Task: start.Order.Task, Attempt: start.Order.Attempt, Percent: 100})
+	}
+	b.answerAll(first, map[string][]platform.Running{"u-1": rows})
+	b.at(100 * time.Millisecond)
+	b.upstream("u-2")
+	draining := platform.Upstream{
+		ID: "u-1", Pool: testPool, Address: "u-1:1", Zone: "a", Born: 1, Machine: "m-u-1", Draining: true,
+		Capacity: job.Resources{MilliCPU: 16000, MemoryMB: 64000}, Labels: []string{"k", "r1"},
+	}
+	b.core.SetUpstream(draining)
+	next := b.decide()
+	is.Equal(len(next.stops), 1) // the other one stays at work meanwhile
+	is.Equal(next.stops[0].Target.ID, "u-1")
+}
+
+// Guards against jobs that count as late because the clocks of hosts differ by seconds.
+func TestAgeOfNewJobsIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	// Room for one: the job from the host whose clock is 30 s behind must not count as too late to matter.
+	for number, behind := range []time.Duration{30 * time.Second, 0} {
+		j := &job.Job{
+			ID: job.ID(fmt.Sprintf("%016x", number+1)), Team: testTeam, Queue: testJobQueue(), Spec: "s",
+			Steps:      []job.Step{{Count: 1, Request: job.Resources{MilliCPU: 10000}, Estimate: time.Second}},
+			AcceptedMS: (b.now - behind).Milliseconds(),
+		}
+		b.core.AddJob(j, uint64(100+number), false, nil, false)
+	}
+	starts := b.decide().starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Order.Task.Job, job.ID("0000000000000001"))
+}
