--- a/owner/reign.go
+++ b/owner/reign.go
@@ -63,7 +63,6 @@
 	roster      []platform.Upstream // to be stored
 	pendingAt   time.Duration
 	pendingSent map[string]int
-	loaded      bool
 	bundle      *platform.Bundle
 	weakSince   time.Duration
 	operatorNow *operator.State
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -22,7 +22,6 @@
 
 	hosts    []*host
 	owner    *ownerSim
-	former   []*ownerSim // their calls may still be carried out
 	calls    []*flight
 	revision uint64
 	stored   map[job.ID]*storedJob
@@ -50,7 +49,6 @@
 	doneAcked bool // an end as done was acknowledged, with no lapse between
 	done      bool
 	failed    int // acknowledged ends as failed
-	highest   uint64
 }
 
 // host is an upstream: it keeps to the platform's page on runs, fences, leases and lists.
