schedule: keep long-running tasks together

Cause: long-running tasks were spread over all machines of a pool, so that none was idle and could move or be parked.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -364,6 +364,8 @@
 	rackBonus    = 2.0
 	badHostCost  = 1.0
 	fillNearCost = 0.5
+	// packBonus keeps long-running tasks together, so that the pool's other machines can move.
+	packBonus = 1.0
 )
 
 // score rates an upstream for a task; more is better. Load is spread: tasks disturb each other.
@@ -382,9 +384,23 @@
 	if up.Cold > 0 {
 		score -= badHostCost
 	}
+	if p.step.LongRunning && up.longRunning() > 0 {
+		score += packBonus
+	}
 	return score - up.trouble.penalty()
 }
 
+// longRunning returns the number of long-running tasks on the upstream.
+func (u *upstream) longRunning() int {
+	n := 0
+	for _, r := range u.runs.all() {
+		if r.part.step.LongRunning {
+			n++
+		}
+	}
+	return n
+}
+
 // serves reports whether a task with a bound on its tail latency runs on the upstream.
 func (u *upstream) serves() bool {
 	for _, r := range u.runs.all() {
