--- /dev/null
+++ b/job/job_test.go
@@ -0,0 +1,47 @@
+package job_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"citrongauge.example/citrongauge/job"
+)
+
+func TestTaskNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := job.TaskID{
+			Job:        job.ID(rapid.StringMatching(`[0-9a-f]{16}`).Draw(t, "id")),
+			Occurrence: rapid.IntRange(0, 1000).Draw(t, "k"),
+			Step:       rapid.IntRange(0, 100).Draw(t, "step"),
+			Index:      rapid.IntRange(0, 10000).Draw(t, "index"),
+		}
+		parsed, err := job.ParseTaskID(id.String())
+		if err != nil || parsed != id {
+			t.Fatalf("%v: %v %v", id, parsed, err)
+		}
+	})
+	for _, bad := range []string{"", "a.0.0.0", "0123456789abcdef.0.0", "0123456789abcdef.0.-1.0", "0123456789abcdef.0.0.0.0"} {
+		if _, err := job.ParseTaskID(bad); err == nil {
+			t.Errorf("accepted %q", bad)
+		}
+	}
+}
+
+// Guards against progress that is not the same after it was stored and read.
+func TestProgressSurvivesStoring(t *testing.T) {
+	is := is.New(t)
+	part := job.PartProgress{Occurrence: 1, Step: 2, Failures: []job.TaskFailure{{Index: 3, Attempt: 1001}}, Hosts: []string{"u"}}
+	part.SetDone(0)
+	part.SetDone(17)
+	stored := job.Progress{Phase: job.Active, Parts: []job.PartProgress{part}}
+	value, err := job.Encode(stored)
+	is.NoErr(err)
+	var read job.Progress
+	is.NoErr(job.Decode(value, &read))
+	is.Equal(read, stored)
+	is.True(read.Parts[0].IsDone(17))
+	is.True(!read.Parts[0].IsDone(16))
+	is.True(job.Decode([]byte{0xff, 0x00}, &read) != nil)
+}
