schedule: give a pool a machine for what waits beside free processors

The sizing saw processors enough, and the task waited 14 s. Change: a task that waits 700 ms though its team may start it brings the pool one more machine, one at a time. Test: TestPoolGetsAMachineForAStepThatSpreads failed before.

--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -47,8 +47,9 @@
 	checkpoint  string
 	runs        []*run
 	notBefore   time.Duration
-	lostOn      string // upstream on which it last ended badly
-	restarts    int    // runs that were stopped for taking too long
+	requeuedAt  time.Duration // 0: it has never run
+	lostOn      string        // upstream on which it last ended badly
+	restarts    int           // runs that were stopped for taking too long
 }
 
 // speed is what was learned about the durations of a queue's tasks.
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -169,6 +169,7 @@
 	if t.done || r.part.job.phase.Terminal() {
 		return
 	}
+	t.requeuedAt = c.now
 	c.stats.Requeued++
 	c.Log("task to be started again", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt,
 		"upstream", r.up.ID, "reason", reason, "ran_ms", (c.now - r.started).Milliseconds(), "checkpoint", t.checkpoint != "")
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -23,6 +23,8 @@
 	// others move to the spare pool, where they cost nothing, after parkAfter without work.
 	parkReserve = 4
 	parkAfter   = 3 * time.Second
+	// starvedAfter is how long a task waits beside free processors before its pool gets one more machine.
+	starvedAfter = 700 * time.Millisecond
 	// moveRetry is the pause before an order without an answer is sent again, moveRefused the time for which a machine
 	// whose move was refused is left alone.
 	moveRetry   = 300 * time.Millisecond
@@ -169,16 +171,38 @@
 		}
 		d.unit = max(d.unit, up.Capacity.MilliCPU)
 	}
+	arriving := false
 	for _, m := range c.moves.all() {
 		if m.Pool == p.name {
 			d.have += d.unit
+			arriving = true
 		}
 	}
 	need := max(used+c.waitingCPU(p), used+p.offered(c.now)-p.timedCPU())
 	d.need = int64((1 + headroom) * float64(need))
+	if !arriving && c.isStarved(p) {
+		d.need = max(d.need, d.have+1)
+	}
 	return d
 }
 
+// isStarved reports whether a task has waited for some time that its team may start. Where the pool has processors to
+// spare, it lacks something else: memory, a label, or upstreams over which a step has to spread.
+func (c *Core) isStarved(p *pool) bool {
+	for part := range p.parts.all() {
+		if c.mayRunUnseen(part) || !part.job.team.allows(part.step.Request) {
+			continue
+		}
+		for i := range part.tasks {
+			t := &part.tasks[i]
+			if t.waits(c.now) && c.now > max(part.releasedAt, t.requeuedAt, t.notBefore)+starvedAfter {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // timedCPU returns the processors that timed tasks use on the pool's upstreams.
 func (p *pool) timedCPU() int64 {
 	var sum int64
--- /dev/null
+++ b/schedule/sizing_test.go
@@ -0,0 +1,82 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
+)
+
+const sparePool = "spare"
+
+// moves drives the core for a while and returns the moves that it orders.
+func (b *bench) moves(d time.Duration, running map[string][]platform.Running) []schedule.Move {
+	var moves []schedule.Move
+	for end := b.now + d; b.now < end; b.at(50 * time.Millisecond) {
+		var c calls
+		for _, call := range b.core.Decide() {
+			switch call := call.(type) {
+			case schedule.Move:
+				moves = append(moves, call)
+			case schedule.Look:
+				c.looks = append(c.looks, call)
+			case schedule.Start:
+				c.starts = append(c.starts, call)
+			}
+		}
+		if b.core.NeedsStoring() {
+			round, _ := b.core.Take()
+			b.core.Stored(round)
+		}
+		b.answerAll(c, running)
+	}
+	return moves
+}
+
+// withSpare puts a bundle into force in which the spare pool's machines are off, and lists one of them.
+func (b *bench) withSpare() {
+	b.core.SetBundle(&platform.Bundle{
+		Version: 2, Revision: 2, Queues: []platform.BundleQueue{{Queue: testJobQueue()}},
+		Pools: []platform.BundlePool{{Name: testPool}, {Name: sparePool, Spare: true}},
+		Teams: []platform.BundleTeam{{Name: testTeam, Weight: 1}},
+	})
+	b.core.SetMachines([]platform.Machine{
+		{Name: "m-u-1", Pool: testPool, Phase: platform.MachineUp, Upstream: "u-1"},
+		{Name: "m-off", Pool: sparePool, Phase: platform.MachineUp},
+	})
+}
+
+// Guards against a pool that keeps too few upstreams for a step that has to spread, though processors are free: a
+// long-running task was not started again for 14 s while the pool's other machines were parked (LOST on hunt-91d2-31
+// of karri).
+func TestPoolGetsAMachineForAStepThatSpreads(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.withSpare()
+	b.at(4 * time.Second) // no order for machines within the pause between holders
+	b.add(1, job.Step{
+		Count: 2, Request: job.Resources{MilliCPU: 1000}, LongRunning: true, PerHost: 1, MayMiss: 1, Estimate: time.Second,
+	})
+	moves := b.moves(2*time.Second, nil)
+	is.Equal(len(moves), 1)
+	is.Equal(moves[0].Machine, "m-off")
+	is.Equal(moves[0].Pool, testPool)
+}
+
+// Guards against machines that move while the pool has room for all that waits.
+func TestNoMachineMovesWithoutNeed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.withSpare()
+	b.at(4 * time.Second)
+	b.job(1, 4, 1000)
+	is.Equal(len(b.moves(2*time.Second, nil)), 0)
+}
