owner, schedule: split files that grew; use the field's terms

owner/reign.go becomes session.go, load.go and store.go; what handles upstreams' lists moves out of schedule/runs.go. session, health and superseded replace reign, trouble and outdone. No behaviour is changed.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -59,8 +59,8 @@
 type Owner struct {
 	Options
 	owning  atomic.Bool
-	present atomic.Pointer[reign]  // while this host owns the fleet
-	known   atomic.Pointer[string] // address of the owner, as last read
+	present atomic.Pointer[session] // while this host owns the fleet
+	known   atomic.Pointer[string]  // address of the owner, as last read
 	bounds  atomic.Pointer[platform.Bounds]
 }
 
@@ -181,7 +181,7 @@
 	lease := &leaseKeeper{owner: o, lease: ownership.Lease}
 	lease.renewed(since)
 	go lease.run(owned, end)
-	r := newReign(o, ownership, lease)
+	r := newSession(o, ownership, lease)
 	o.known.Store(&o.Address)
 	r.run(owned)
 	o.present.Store(nil)
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -77,7 +77,7 @@
 	// anyUnsettled is set while an upstream exists that was not reached since the claim.
 	anyUnsettled bool
 	planned      []*run // whose upstreams are being recorded
-	outdone      bool   // an upstream has seen a higher token
+	superseded   bool   // an upstream has seen a higher token
 
 	chainEnds   []time.Duration // reused by chain
 	round       uint64          // number of the last round of records that was taken
@@ -132,8 +132,8 @@
 // At sets the time of the events that follow: steady time, and Unix milliseconds.
 func (c *Core) At(now time.Duration, wallMS int64) { c.now, c.wallMS = now, wallMS }
 
-// Outdone reports whether an upstream has seen a higher token than this owner's.
-func (c *Core) Outdone() bool { return c.outdone }
+// Superseded reports whether an upstream has seen a higher token than this owner's.
+func (c *Core) Superseded() bool { return c.superseded }
 
 // Stats returns the counts so far.
 func (c *Core) Stats() Stats { return c.stats }
--- a/schedule/trouble.go
+++ b/schedule/health.go
@@ -16,8 +16,8 @@
 	failurePenalty       = 0.3
 )
 
-// trouble is what an upstream's recent failures say about it.
-type trouble struct {
+// health is what an upstream's recent failures say about it.
+type health struct {
 	inRow   int
 	lastJob job.ID
 	jobs    int // different jobs among the failures in a row
@@ -25,11 +25,11 @@
 	spells  int // quarantines since the last success
 }
 
-func (t *trouble) succeeded() {
+func (t *health) succeeded() {
 	t.inRow, t.jobs, t.spells, t.lastJob = 0, 0, 0, ""
 }
 
-func (t *trouble) failed(c *Core, up *upstream, id job.ID) {
+func (t *health) failed(c *Core, up *upstream, id job.ID) {
 	t.inRow++
 	if id != t.lastJob {
 		t.jobs++
@@ -40,7 +40,7 @@
 	}
 }
 
-func (t *trouble) quarantine(c *Core, up *upstream, reason string) {
+func (t *health) quarantine(c *Core, up *upstream, reason string) {
 	pause := min(quarantine<<min(t.spells, 4), maxQuarantine)
 	t.spells++
 	t.until = c.now + pause
@@ -48,17 +48,17 @@
 	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", pause.Milliseconds(), "spells", t.spells)
 }
 
-func (t *trouble) isQuarantined(now time.Duration) bool { return now < t.until }
+func (t *health) isQuarantined(now time.Duration) bool { return now < t.until }
 
 // mayTry reports whether one more task may be started: only one at a time after a quarantine, until one succeeds.
-func (t *trouble) mayTry(runs int) bool { return t.spells == 0 || runs == 0 }
+func (t *health) mayTry(runs int) bool { return t.spells == 0 || runs == 0 }
 
-func (t *trouble) penalty() float64 { return failurePenalty * float64(t.inRow) }
+func (t *health) penalty() float64 { return failurePenalty * float64(t.inRow) }
 
 // suspect leaves an upstream alone for a moment.
 func (u *upstream) suspect(c *Core, reason string) {
-	if u.trouble.until < c.now+suspectPause {
-		u.trouble.until = c.now + suspectPause
+	if u.health.until < c.now+suspectPause {
+		u.health.until = c.now + suspectPause
 		c.Log("upstream left alone", "upstream", u.ID, "reason", reason, "for_ms", suspectPause.Milliseconds())
 	}
 }
@@ -84,7 +84,7 @@
 			r.overdue = true
 			r.task().restarts++
 			r.task().lostOn = up.ID
-			up.trouble.failed(c, up, r.part.job.ID)
+			up.health.failed(c, up, r.part.job.ID)
 			c.stop(r, "overdue")
 		}
 	}
--- /dev/null
+++ b/schedule/lists.go
@@ -0,0 +1,198 @@
+package schedule
+
+import (
+	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
+)
+
+// seen notes that a look listed the run.
+func (r *run) seen(c *Core, row platform.Running, seq uint64) {
+	r.seenAt = seq
+	r.gauge, r.progress = row.Gauge, row.Percent
+	if row.Checkpoint != "" && row.Checkpoint != r.checkpoint {
+		r.checkpoint = row.Checkpoint
+		r.task().checkpoint = row.Checkpoint
+	}
+	if r.state == runUnknown {
+		r.state = runRunning
+		c.Log("run found", "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID)
+	}
+}
+
+// vanished handles a run that a look should have listed and did not.
+func (c *Core) vanished(r *run) {
+	switch r.state {
+	case runStopped:
+		c.settle(r)
+		c.requeue(r, "stopped before it began", "")
+	case runRunning:
+		c.settle(r)
+		c.Log("run not listed", "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID)
+		c.requeue(r, "not listed any more", r.checkpoint)
+	}
+}
+
+// adopt takes over a run that this owner did not start, or stops it if it is not wanted.
+func (c *Core) adopt(up *upstream, row platform.Running) *run {
+	p, index := c.find(row.Task)
+	if p == nil {
+		c.stopForeign(up, row)
+		return nil
+	}
+	t := &p.tasks[index]
+	r := &run{
+		part: p, index: index, attempt: row.Attempt, up: up, state: runRunning, room: p.step.Room(), started: c.now,
+		adopted: true, pace: fullPace, paced: fullPace,
+	}
+	unwanted := ""
+	switch {
+	case p.job.phase.Terminal() || t.done:
+		unwanted = "its task has ended"
+	case len(t.runs) > 0 && !p.step.Speculative:
+		unwanted = "another run of its task is known"
+	}
+	if other := up.runs.get(row.Task); other != nil {
+		if other.attempt > row.Attempt {
+			return nil // the listed run is an earlier one, which is ending
+		}
+		c.settle(other)
+	}
+	t.lastAttempt = max(t.lastAttempt, row.Attempt)
+	c.attach(r)
+	p.job.begun = true
+	c.Log("run adopted", "job", p.job.ID, "task", r.id().String(), "attempt", r.attempt, "upstream", up.ID)
+	if unwanted != "" {
+		c.stop(r, unwanted)
+	}
+	return r
+}
+
+// stopForeign stops a run of a job that is not known: it ended and its records are gone.
+func (c *Core) stopForeign(up *upstream, row platform.Running) {
+	up.foreign++
+	c.Log("stop", "task", row.Task.String(), "attempt", row.Attempt, "upstream", up.ID, "reason", "its job is not known")
+	c.calls = append(c.calls, Stop{Target: up.target(), Order: platform.StopOrder{
+		Task: row.Task, Attempt: row.Attempt, Token: c.Token,
+	}})
+}
+
+// find returns the part and index of a task of a known job.
+func (c *Core) find(id job.TaskID) (*part, int) {
+	j := c.jobs.get(id.Job)
+	if j == nil || id.Step >= len(j.Steps) || id.Occurrence >= j.due {
+		return nil, 0
+	}
+	p := j.parts[id.Occurrence*len(j.Steps)+id.Step]
+	if id.Index >= len(p.tasks) {
+		return nil, 0
+	}
+	return p, id.Index
+}
+
+// ended handles an end that an upstream lists. It reports whether progress changed that must be stored before the end
+// is acknowledged.
+func (c *Core) ended(up *upstream, end platform.Ended) bool {
+	r := up.runs.get(end.Task)
+	if r != nil && r.attempt == end.Attempt {
+		c.settle(r)
+	} else {
+		r = nil
+	}
+	p, index := c.find(end.Task)
+	if p == nil {
+		return false
+	}
+	t := &p.tasks[index]
+	t.lastAttempt = max(t.lastAttempt, end.Attempt)
+	ran := int64(-1)
+	if r != nil {
+		ran = (c.now - r.started).Milliseconds()
+	}
+	c.Log("end", "job", p.job.ID, "task", end.Task.String(), "attempt", end.Attempt, "upstream", up.ID, "how", end.Kind,
+		"number", end.Seq, "ran_ms", ran)
+	if end.Checkpoint != "" && end.Kind != platform.EndDone && end.Kind != platform.EndFailed {
+		t.checkpoint = end.Checkpoint
+	}
+	if p.job.phase.Terminal() || t.done {
+		return c.isDirty(p.job.ID)
+	}
+	switch end.Kind {
+	case platform.EndDone:
+		return c.taskDone(p, index, r, up)
+	case platform.EndFailed:
+		return c.taskFailed(p, index, end, up)
+	}
+	if r != nil {
+		c.requeue(r, string(end.Kind), end.Checkpoint)
+	}
+	return false
+}
+
+func (c *Core) taskDone(p *part, index int, r *run, up *upstream) bool {
+	if p.step.LongRunning {
+		p.tasks[index].notBefore = c.now + retryPause
+		return false
+	}
+	if r != nil {
+		c.learn(r)
+	}
+	up.health.succeeded()
+	if p.step.Gang {
+		for i := range p.tasks {
+			c.markDone(p, i)
+		}
+	} else {
+		c.markDone(p, index)
+	}
+	c.touch(p.job)
+	if p.isDone() {
+		c.unlist(p)
+		p.job.open--
+		c.release(p.job)
+		c.checkComplete(p.job)
+	}
+	return true
+}
+
+func (c *Core) markDone(p *part, index int) {
+	t := &p.tasks[index]
+	if t.done {
+		return
+	}
+	t.done = true
+	p.done++
+	p.progress.SetDone(index)
+	c.stats.Done++
+	for _, r := range t.runs {
+		if !p.step.Gang {
+			c.stop(r, "another run of its task is done")
+		}
+	}
+}
+
+func (c *Core) taskFailed(p *part, index int, end platform.Ended, up *upstream) bool {
+	t := &p.tasks[index]
+	up.health.failed(c, up, p.job.ID)
+	t.lostOn = up.ID
+	if p.step.LongRunning {
+		t.failures++
+		t.notBefore = c.now + min(retryPause<<min(t.failures-1, 5), maxRetryPause)
+		return false
+	}
+	if p.step.Gang {
+		index = 0 // a gang's attempt fails once, whichever members report it
+	}
+	for _, failure := range p.progress.Failures {
+		if failure.Index == index && failure.Attempt == end.Attempt {
+			return c.isDirty(p.job.ID)
+		}
+	}
+	c.stats.Failed++
+	p.progress.Failures = append(p.progress.Failures, job.TaskFailure{Index: index, Attempt: end.Attempt})
+	p.tasks[index].failures++
+	c.touch(p.job)
+	if p.tasks[index].failures >= max(p.job.Queue.MaxAttempts, 1) {
+		c.end(p.job, job.Failed, "a task failed in all its attempts")
+	}
+	return true
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -139,7 +139,7 @@
 
 func (c *Core) isUsable(up *upstream) bool {
 	return up.listed && up.fenced && up.stored && !up.gone && !up.Draining && up.failedLooks == 0 && up.foreign == 0 &&
-		!c.evacuated[up.Zone] && !up.cordoned && !up.trouble.isQuarantined(c.now)
+		!c.evacuated[up.Zone] && !up.cordoned && !up.health.isQuarantined(c.now)
 }
 
 func (p *pool) hasUnsettled() bool {
@@ -344,7 +344,7 @@
 		if local && up.rack != p.step.Rack && hasRack(usable, p.step.Rack) {
 			continue // waits for room near its data for as long as the work takes there
 		}
-		if !up.trouble.mayTry(up.runs.len()) {
+		if !up.health.mayTry(up.runs.len()) {
 			continue
 		}
 		score := c.score(p, t, up)
@@ -387,7 +387,7 @@
 	if p.step.LongRunning && up.longRunning() > 0 {
 		score += packBonus
 	}
-	return score - up.trouble.penalty()
+	return score - up.health.penalty()
 }
 
 // longRunning returns the number of long-running tasks on the upstream.
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -45,7 +45,7 @@
 	foreign int
 	// demand is the processor request of all runs, the filling ones included.
 	demand   int64
-	trouble  trouble
+	health   health
 	paceHold time.Duration
 }
 
@@ -194,7 +194,7 @@
 	up.settled = up.settled || up.fenced
 	up.fenced, up.gone, up.cordoned, up.maxDeadline, up.clockMS = false, false, false, 0, 0
 	up.nextLook = c.now
-	up.trouble = trouble{}
+	up.health = health{}
 }
 
 // lose settles all runs of an upstream that cannot run any more.
@@ -323,8 +323,8 @@
 	if errors.As(err, &refused) {
 		switch refused.Reason {
 		case platform.RefusedFence:
-			c.outdone = true
-			c.Log("outdone by another owner", "upstream", up.ID, "token", c.Token)
+			c.superseded = true
+			c.Log("superseded by another owner", "upstream", up.ID, "token", c.Token)
 			return
 		case platform.RefusedOtherLife:
 			c.replaced(up)
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -440,7 +440,7 @@
 		return
 	}
 	o.core.At(w.now, w.now.Milliseconds())
-	if w.now >= o.until || o.core.Outdone() {
+	if w.now >= o.until || o.core.Superseded() {
 		return
 	}
 	for _, call := range o.core.Decide() {
