--- /dev/null
+++ b/cmd/cgctl/job.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// jobTimeout bounds one call about a job.
+const jobTimeout = 5 * time.Second
+
+// jobCommand returns the commands for jobs on the users' platform.
+func jobCommand() *cli.Command {
+	return &cli.Command{
+		Name: "job", Usage: "submit, show and cancel jobs at an entry host on the platform",
+		Commands: []*cli.Command{
+			{
+				Name: "submit", Usage: "submit a job; prints its ID",
+				Flags: append(jobFlags(),
+					&cli.StringFlag{Name: "id", Usage: "`ID` for a safe repeat, 16 hexadecimal digits; default: a new one"},
+					&cli.StringFlag{Name: "file", Required: true, Usage: "`FILE` with the job as JSON, - for standard input"}),
+				Action: submitJob,
+			},
+			{Name: "show", Usage: "show a job's phase", ArgsUsage: "ID", Flags: jobFlags(), Action: jobAction(http.MethodGet)},
+			{Name: "cancel", Usage: "cancel a job", ArgsUsage: "ID", Flags: jobFlags(), Action: jobAction(http.MethodDelete)},
+			{Name: "pending", Usage: "show how many jobs of the queue have not begun", Flags: jobFlags(), Action: showPending},
+		},
+	}
+}
+
+func jobFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "entry", Required: true, Usage: "`ADDRESS` of an entry host, IP:port", Sources: cli.EnvVars("CITRONGAUGE_ENTRY")},
+		&cli.StringFlag{Name: "queue-host", Required: true, Usage: "`HOST` of the queue", Sources: cli.EnvVars("CITRONGAUGE_QUEUE_HOST")},
+		&cli.StringFlag{Name: "prefix", Required: true, Usage: "path `PREFIX` of the queue", Sources: cli.EnvVars("CITRONGAUGE_QUEUE_PREFIX")},
+		&cli.StringFlag{Name: "key", Usage: "team `KEY`; open queues need none", Sources: cli.EnvVars("CITRONGAUGE_TEAM_KEY")},
+	}
+}
+
+func submitJob(ctx context.Context, command *cli.Command) error {
+	var body []byte
+	var err error
+	if path := command.String("file"); path == "-" {
+		body, err = io.ReadAll(os.Stdin)
+	} else {
+		body, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return errors.Wrap(err, "read the job")
+	}
+	id := command.String("id")
+	if id == "" {
+		var random [8]byte
+		if _, err := rand.Read(random[:]); err != nil {
+			return errors.Wrap(err, "new ID")
+		}
+		id = hex.EncodeToString(random[:])
+	}
+	answer, err := callJob(ctx, command, http.MethodPost, id, body)
+	if err != nil {
+		return errors.Wrapf(err, "job %s", id)
+	}
+	_, err = fmt.Fprintf(command.Root().Writer, "%s %s\n", id, answer)
+	return err
+}
+
+func jobAction(method string) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		if command.Args().Len() != 1 {
+			return usageError{"one job ID is needed"}
+		}
+		return printJobAnswer(ctx, command, method, command.Args().First())
+	}
+}
+
+func showPending(ctx context.Context, command *cli.Command) error {
+	return printJobAnswer(ctx, command, http.MethodGet, "")
+}
+
+func printJobAnswer(ctx context.Context, command *cli.Command, method, id string) error {
+	answer, err := callJob(ctx, command, method, id, nil)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(command.Root().Writer, answer)
+	return err
+}
+
+// callJob returns the body of a successful answer.
+func callJob(ctx context.Context, command *cli.Command, method, id string, body []byte) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	url := "http://" + command.String("entry") + command.String("prefix") + id
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	request.Host = command.String("queue-host")
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(jobTimeout.Milliseconds(), 10))
+	if key := command.String("key"); key != "" {
+		request.Header.Set("Authorization", "Token "+key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }() // the body has been read
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxTaskAnswer))
+	if err != nil {
+		return "", err
+	}
+	if response.StatusCode != http.StatusOK {
+		return "", errors.Errorf("status %d: %s", response.StatusCode, data)
+	}
+	return string(data), nil
+}
--- a/cmd/cgctl/main.go
+++ b/cmd/cgctl/main.go
@@ -46,7 +46,7 @@
 		Flags:                 globalFlags(),
 		Commands: []*cli.Command{
 			keysCommand(), bundleCommand(), rolloutCommand(), statusCommand(), historyCommand(), explainCommand(),
-			hostCommand(), zoneCommand(), entryCommand(), keyCommand(), taskCommand(), standinCommand(), measureCommand(),
+			hostCommand(), zoneCommand(), entryCommand(), keyCommand(), taskCommand(), jobCommand(), standinCommand(), measureCommand(),
 			capacityCommand(),
 		},
 	}
--- a/cmd/cgctl/standin.go
+++ b/cmd/cgctl/standin.go
@@ -51,6 +51,7 @@
 					&cli.StringFlag{Name: "id-prefix", Value: "u", Usage: "host IDs are this and a number from 1"}),
 				Action: runStandinUpstreams,
 			},
+			fleetCommand(),
 		},
 	}
 }
