--- a/cmd/cgctl/job_test.go
+++ b/cmd/cgctl/job_test.go
@@ -31,9 +31,8 @@
 	file := filepath.Join(t.TempDir(), "job.json")
 	is.NoErr(os.WriteFile(file, []byte(`{"steps":[]}`), 0o600))
 	run := func(arguments ...string) (string, error) {
-		root := ()
 		var out bytes.Buffer
-		root.Writer = &out
+		root := rootCommand(&out, io.Discard)
 		flags := []string{
 			"--entry", server.Listener.Addr().String(), "--queue-host", "q.example", "--prefix", "/q/", "--key", "k",
 		}
