--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"citrongauge.example/citrongauge/schedule"
 )
 
 // metrics are the counters and histograms of an entry host.
@@ -73,10 +75,11 @@
 }
 
 // Counts implements owner.Observer.
-func (m *metrics) Counts(starts, done, failed, requeued, stops, looks, refused, jobs, upstreams int) {
+func (m *metrics) Counts(stats schedule.Stats, jobs, upstreams int) {
 	for kind, n := range map[string]int{
-		"starts": starts, "done": done, "failed": failed, "requeued": requeued, "stops": stops, "looks": looks,
-		"refused": refused, "jobs": jobs, "upstreams": upstreams,
+		"starts": stats.Starts, "done": stats.Done, "failed": stats.Failed, "requeued": stats.Requeued,
+		"stops": stats.Stops, "looks": stats.Looks, "refused": stats.Refused, "moves": stats.Moves, "jobs": jobs,
+		"upstreams": upstreams,
 	} {
 		m.ownerStat.WithLabelValues(kind).Set(float64(n))
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -41,7 +41,6 @@
 
 // server answers clients.
 type server struct {
-	host     string
 	ledger   *ledger.Ledger
 	operator *operator.Follower
 	metrics  *metrics
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,6 +14,7 @@
 	"citrongauge.example/citrongauge/ledger"
 	"citrongauge.example/citrongauge/operator"
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
 	"citrongauge.example/citrongauge/steady"
 )
 
@@ -54,7 +55,7 @@
 type Observer interface {
 	Owning(owning bool)
 	JobEnded(team, queue, phase string, age time.Duration)
-	Counts(starts, done, failed, requeued, stops, looks, refused, jobs, upstreams int)
+	Counts(stats schedule.Stats, jobs, upstreams int)
 }
 
 // Owner competes for the ownership and uses it.
--- a/owner/session.go
+++ b/owner/session.go
@@ -177,9 +177,8 @@
 }
 
 func (r *session) count() {
-	s := r.core.Stats()
-	known, _ := r.core.Upstreams()
-	r.Observe.Counts(s.Starts, s.Done, s.Failed, s.Requeued, s.Stops, s.Looks, s.Refused, r.core.Jobs(), known)
+	listed, _ := r.core.Upstreams()
+	r.Observe.Counts(r.core.Stats(), r.core.Jobs(), listed)
 }
 
 // post hands an event to the loop, or drops it when the ownership is over.
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -18,7 +18,7 @@
 )
 
 var testBounds = platform.Bounds{
-	MaxLease: 10 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: 120 * time.Second,
+	MaxLease: 10 * time.Second, Retention: 120 * time.Second,
 	Upkeep: 2 * time.Second, Holder: 3 * time.Second,
 }
 
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -9,7 +9,6 @@
 // jobState is a job that has not ended, or whose end is not stored yet.
 type jobState struct {
 	*job.Job
-	created   uint64        // store revision of its record
 	inherited bool          // accepted before this ownership: an earlier owner may have started its tasks
 	arrival   time.Duration // when it was accepted, on our steady clock
 	phase     job.Phase
@@ -82,7 +81,7 @@
 		return
 	}
 	state := &jobState{
-		Job: j, created: created, inherited: inherited, team: c.team(j.Team), arrival: c.now - c.ageOf(j, inherited),
+		Job: j, inherited: inherited, team: c.team(j.Team), arrival: c.now - c.ageOf(j, inherited),
 	}
 	if queue, ok := c.queues[j.Queue.Name]; ok {
 		j.Queue = queue.Queue
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -232,15 +232,23 @@
 	return r
 }
 
+// answered notes that an order for a run was answered, and returns the run if it is still known.
+func (c *Core) answered(target platform.Target, id job.TaskID, attempt uint64, clockMS int64) *run {
+	r := c.findRun(target, id, attempt)
+	if r != nil {
+		r.pending = false
+		r.asked = r.up.lookSeq
+		r.up.readClock(clockMS, c.now)
+	}
+	return r
+}
+
 // Started handles the answer to a Start.
 func (c *Core) Started(start Start, clockMS int64, err error) {
-	r := c.findRun(start.Target, start.Order.Task, start.Order.Attempt)
+	r := c.answered(start.Target, start.Order.Task, start.Order.Attempt, clockMS)
 	if r == nil {
 		return
 	}
-	r.pending = false
-	r.asked = r.up.lookSeq
-	r.up.readClock(clockMS, c.now)
 	var refused *platform.RefusedError
 	switch {
 	case err == nil:
@@ -311,13 +319,10 @@
 
 // Stopped handles the answer to a Stop.
 func (c *Core) Stopped(stop Stop, clockMS int64, err error) {
-	r := c.findRun(stop.Target, stop.Order.Task, stop.Order.Attempt)
+	r := c.answered(stop.Target, stop.Order.Task, stop.Order.Attempt, clockMS)
 	if r == nil {
 		return
 	}
-	r.pending = false
-	r.asked = r.up.lookSeq
-	r.up.readClock(clockMS, c.now)
 	var refused *platform.RefusedError
 	switch {
 	case err == nil:
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -19,9 +19,8 @@
 	fenced  bool // it has been looked at under this owner's token
 	settled bool // what an earlier owner may have started there is known, or has ended
 
-	drainingSince time.Duration
-	cordoned      bool // kept free for its machine's upkeep or move
-	probe         bool // to be looked at though nothing runs there
+	cordoned bool // kept free for its machine's upkeep or move
+	probe    bool // to be looked at though nothing runs there
 
 	// clockMS was read at clockAt. The clock has advanced by the time that has passed since, or up to 2% less.
 	clockMS     int64
@@ -109,7 +108,6 @@
 		c.reborn(up, entry.Born)
 	}
 	if entry.Draining && !up.Draining {
-		up.drainingSince = c.now
 		c.Log("upstream draining", "upstream", entry.ID, "remaining_ms", entry.Remaining.Milliseconds(), "runs", up.runs.len())
 	}
 	born := max(up.Born, entry.Born)
