--- a/entry/host.go
+++ b/entry/host.go
@@ -75,7 +75,7 @@
 	h.sender = announce.NewSender(h.owner.OwnerAddress, event)
 	h.server = &server{
 		announce: h.announce,
-		host:     settings.Host, ledger: records, operator: h.operator, metrics: h.metrics, log: event,
+		ledger:   records, operator: h.operator, metrics: h.metrics, log: event,
 		draining: h.draining.Load,
 	}
 	return h
