schedule: a job that no upstream can hold moves no machines

Found by reading: its tasks counted as demand, and as starved, so that the pool would have pulled in all machines. Test: TestImpossibleJobsMoveNoMachines failed before.

--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 )
 
@@ -190,7 +191,7 @@
 // spare, it lacks something else: memory, a label, or upstreams over which a step has to spread.
 func (c *Core) isStarved(p *pool) bool {
 	for part := range p.parts.all() {
-		if c.mayRunUnseen(part) || !part.job.team.allows(part.step.Request) {
+		if c.mayRunUnseen(part) || !part.job.team.allows(part.step.Request) || !p.couldHold(part.step) {
 			continue
 		}
 		for i := range part.tasks {
@@ -220,6 +221,9 @@
 func (c *Core) waitingCPU(p *pool) int64 {
 	byTeam := map[*team]int64{}
 	for part := range p.parts.all() {
+		if !p.couldHold(part.step) {
+			continue
+		}
 		for i := range part.tasks {
 			if part.tasks[i].waits(c.now) {
 				byTeam[part.job.team] += part.step.Room().MilliCPU
@@ -236,6 +240,17 @@
 	return sum
 }
 
+// couldHold reports whether a task of the step fits on an empty upstream of the pool. More machines do not help one that
+// does not.
+func (p *pool) couldHold(step *job.Step) bool {
+	for _, up := range p.upstreams.all() {
+		if step.Room().Fits(up.Capacity) && (step.Label == "" || slices.Contains(up.Labels, step.Label)) {
+			return true
+		}
+	}
+	return false
+}
+
 // pull orders one machine into a pool, from the spare pool or from the pool with the most room left. It returns false
 // if none can be spared.
 func (c *Core) pull(d *poolDemand, demands []poolDemand) bool {
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -80,3 +80,18 @@
 	b.job(1, 4, 1000)
 	is.Equal(len(b.moves(2*time.Second, nil)), 0)
 }
+
+// Guards against a job that no upstream can hold and that pulls all machines into its pool.
+func TestImpossibleJobsMoveNoMachines(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.withSpare()
+	b.at(4 * time.Second)
+	b.job(1, 4, 17000)
+	b.add(2, job.Step{Count: 2, Request: job.Resources{MemoryMB: 1 << 40}, Estimate: time.Second})
+	is.Equal(len(b.moves(3*time.Second, nil)), 0)
+	b.job(3, 1, 1000)
+	is.Equal(len(b.decide().starts), 1) // the others are served
+}
