--- a/schedule/place.go
+++ b/schedule/place.go
@@ -119,12 +119,17 @@
 func (c *Core) workLeft(j *jobState) float64 {
 	total := 0.0
 	for _, p := range j.parts {
-		left := float64(len(p.tasks) - p.done)
-		total += left * float64(p.step.Request.MilliCPU) / 1000 * float64(c.expected(j, p.step).Milliseconds())
+		total += c.workOf(p)
 	}
 	return total
 }
 
+// workOf returns the core-milliseconds that a part still needs.
+func (c *Core) workOf(p *part) float64 {
+	left := float64(len(p.tasks) - p.done)
+	return left * float64(p.step.Request.MilliCPU) / 1000 * float64(c.expected(p.job, p.step).Milliseconds())
+}
+
 // usable returns the pool's upstreams on which something may start.
 func (c *Core) usable(p *pool) []*upstream {
 	var usable []*upstream
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -75,7 +75,13 @@
 		return
 	}
 	p := c.pool(j.Queue.Pool)
-	p.arrived = append(p.arrived, arrivedWork{c.now, c.workLeft(j) / 1000})
+	work := 0.0
+	for _, part := range j.parts {
+		if p.couldHold(part.step) {
+			work += c.workOf(part) / 1000
+		}
+	}
+	p.arrived = append(p.arrived, arrivedWork{c.now, work})
 }
 
 // offered returns the processors that work accepted lately will keep busy, in thousandths of a core.
