--- a/cmd/citrongauge/soak_test.go
+++ b/cmd/citrongauge/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -83,29 +84,46 @@
 		s.hosts = append(s.hosts, s.newHost(directory, i))
 	}
 	defer s.stop()
+	defer func() {
+		if t.Failed() {
+			s.keepLogs(seed)
+		}
+	}()
 	s.waitReady()
 	load := make(chan struct{})
 	go s.load(load)
 	s.faults(load)
 	s.heal()
 	s.check()
-	if t.Failed() {
-		s.keepLogs(seed)
+}
+
+// soakAddress returns an address on loopback that was free a moment ago, with a port below those that the kernel gives
+// to outgoing connections: a client of this or another test may have taken one of these until the daemon listens.
+func soakAddress(t *testing.T) string {
+	for range 100 {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(10_000+rand.IntN(20_000)))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (s *soakRun) newHost(directory string, i int) *soakHost {
-	internal := freeAddress(s.t)
+	internal := soakAddress(s.t)
 	port, err := strconv.Atoi(internal[strings.LastIndex(internal, ":")+1:])
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	h := &soakHost{
-		address: freeAddress(s.t), settings: filepath.Join(directory, fmt.Sprintf("host%d.toml", i)),
+		address: soakAddress(s.t), settings: filepath.Join(directory, fmt.Sprintf("host%d.toml", i)),
 		logs: filepath.Join(directory, fmt.Sprintf("host%d.log", i)),
 	}
 	name := fmt.Sprintf("edge-%d", i+1)
-	content := s.fleet.Settings(name, platformfleet.ZoneName(i), h.address, freeAddress(s.t), port)
+	content := s.fleet.Settings(name, platformfleet.ZoneName(i), h.address, soakAddress(s.t), port)
 	if err := os.WriteFile(h.settings, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
