soak: return no port twice

The kept logs show the cause: two hosts of the same run were given port 23999, as the first did not listen yet when the second was chosen.

--- a/cmd/citrongauge/soak_test.go
+++ b/cmd/citrongauge/soak_test.go
@@ -49,6 +49,9 @@
 	return n
 }
 
+// soakPorts holds the ports that were returned; the daemons listen on them only later.
+var soakPorts sync.Map
+
 type soakRun struct {
 	t      *testing.T
 	random *rand.Rand
@@ -98,10 +101,15 @@
 }
 
 // soakAddress returns an address on loopback that was free a moment ago, with a port below those that the kernel gives
-// to outgoing connections: a client of this or another test may have taken one of these until the daemon listens.
+// to outgoing connections: a client of this or another test may have taken one of these until the daemon listens. No
+// port is returned twice.
 func soakAddress(t *testing.T) string {
 	for range 100 {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(10_000+rand.IntN(20_000)))
+		port := 10_000 + rand.IntN(20_000)
+		if _, taken := soakPorts.LoadOrStore(port, true); taken {
+			continue
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = listener.Close()
