--- a/operator/operator.go
+++ b/operator/operator.go
@@ -91,18 +91,11 @@
 		if wait == failurePause {
 			f.log("store lost", "reader", "operator", "error", err.Error(), "age_ms", f.Age().Milliseconds())
 		}
-		pause(ctx, wait)
+		steady.Sleep(ctx, wait)
 		wait = min(2*wait, maxFailurePause)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (f *Follower) readAll(ctx context.Context) (uint64, error) {
 	items, asOf, err := f.kv.All(ctx, platform.OperatorPrefix, readTimeout)
 	if err != nil {
--- a/owner/load.go
+++ b/owner/load.go
@@ -202,7 +202,7 @@
 				r.Log("store lost", "reader", prefix, "error", err.Error())
 			}
 			failing = true
-			pause(ctx, failurePause)
+			steady.Sleep(ctx, failurePause)
 			continue
 		}
 		if failing {
@@ -213,6 +213,6 @@
 		if len(events) > 0 {
 			r.post(ctx, func(*session) { handle(events) })
 		}
-		pause(ctx, watchGap)
+		steady.Sleep(ctx, watchGap)
 	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -103,7 +103,7 @@
 		case err == nil:
 			failing = false
 			if errors.Is(o.own(ctx, ownership, since), errYielded) {
-				pause(ctx, yieldPause)
+				steady.Sleep(ctx, yieldPause)
 			}
 		case errors.Is(err, ledger.ErrOwned):
 			failing = false
@@ -113,30 +113,23 @@
 				o.Log("ownership not claimed", "error", err.Error())
 			}
 			failing = true
-			pause(ctx, failurePause)
+			steady.Sleep(ctx, failurePause)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // waitForChange returns when the owner's key changes or a watch ends.
 func (o *Owner) waitForChange(ctx context.Context) {
 	item, err := o.KV.Get(ctx, ledger.OwnerKey, callTimeout)
 	if err != nil {
-		pause(ctx, failurePause)
+		steady.Sleep(ctx, failurePause)
 		return
 	}
 	after := item.Revision
 	for item.Revision != 0 && ctx.Err() == nil {
 		events, asOf, err := o.KV.Watch(ctx, ledger.OwnerKey, after, candidateWait)
 		if err != nil {
-			pause(ctx, failurePause)
+			steady.Sleep(ctx, failurePause)
 			return
 		}
 		if len(events) > 0 {
--- a/owner/session.go
+++ b/owner/session.go
@@ -121,7 +121,7 @@
 // rest pauses in proportion to the time that the last decision took, so that under load one decision serves many
 // events. A decision over a large fleet takes milliseconds.
 func rest(ctx context.Context, took time.Duration) {
-	pause(ctx, min(max(restFactor*took, minRest), maxRest))
+	steady.Sleep(ctx, min(max(restFactor*took, minRest), maxRest))
 }
 
 // drain handles the events that wait, so that one decision serves them all.
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -25,35 +25,35 @@
 	spells  int // quarantines since the last success
 }
 
-func (t *health) succeeded() {
-	t.inRow, t.jobs, t.spells, t.lastJob = 0, 0, 0, ""
+func (h *health) succeeded() {
+	h.inRow, h.jobs, h.spells, h.lastJob = 0, 0, 0, ""
 }
 
-func (t *health) failed(c *Core, up *upstream, id job.ID) {
-	t.inRow++
-	if id != t.lastJob {
-		t.jobs++
-		t.lastJob = id
+func (h *health) failed(c *Core, up *upstream, id job.ID) {
+	h.inRow++
+	if id != h.lastJob {
+		h.jobs++
+		h.lastJob = id
 	}
-	if t.inRow >= failuresToQuarantine && t.jobs >= 2 || t.spells > 0 {
-		t.quarantine(c, up, "failures in a row")
+	if h.inRow >= failuresToQuarantine && h.jobs >= 2 || h.spells > 0 {
+		h.quarantine(c, up, "failures in a row")
 	}
 }
 
-func (t *health) quarantine(c *Core, up *upstream, reason string) {
-	pause := min(quarantine<<min(t.spells, 4), maxQuarantine)
-	t.spells++
-	t.until = c.now + pause
-	t.inRow, t.jobs = 0, 0
-	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", pause.Milliseconds(), "spells", t.spells)
+func (h *health) quarantine(c *Core, up *upstream, reason string) {
+	pause := min(quarantine<<min(h.spells, 4), maxQuarantine)
+	h.spells++
+	h.until = c.now + pause
+	h.inRow, h.jobs = 0, 0
+	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", pause.Milliseconds(), "spells", h.spells)
 }
 
-func (t *health) isQuarantined(now time.Duration) bool { return now < t.until }
+func (h *health) isQuarantined(now time.Duration) bool { return now < h.until }
 
 // mayTry reports whether one more task may be started: only one at a time after a quarantine, until one succeeds.
-func (t *health) mayTry(runs int) bool { return t.spells == 0 || runs == 0 }
+func (h *health) mayTry(runs int) bool { return h.spells == 0 || runs == 0 }
 
-func (t *health) penalty() float64 { return failurePenalty * float64(t.inRow) }
+func (h *health) penalty() float64 { return failurePenalty * float64(h.inRow) }
 
 // suspect leaves an upstream alone for a moment.
 func (u *upstream) suspect(c *Core, reason string) {
--- a/steady/steady.go
+++ b/steady/steady.go
@@ -3,6 +3,7 @@
 package steady
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -17,5 +18,13 @@
 	return time.Duration(ts.Nano())
 }
 
+// Sleep returns after d, or when ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // WallMS returns the time of day in Unix milliseconds.
 func WallMS() int64 { return time.Now().UnixMilli() }
