owner: larger hosts own the fleet

Cause: any host could own the fleet. Reading the state took 0.2 s on large hosts and up to 1.8 s on small ones.

A host's fitness comes from its processor share and its link. A less fit host leaves a free ownership to others for up to 300 ms, and a fitter one asks the owner for it.

Tests: TestLargeHostTakesOverFromSmallOne failed first (no handover).

--- a/announce/announce.go
+++ b/announce/announce.go
@@ -34,6 +34,8 @@
 	Job       *job.Job `cbor:"1,keyasint,omitempty"` // accepted
 	Created   uint64   `cbor:"2,keyasint,omitempty"` // revision of its record
 	Cancelled job.ID   `cbor:"3,keyasint,omitempty"`
+	// FitterHost is a host that asks for the ownership, since it is larger than the owner.
+	FitterHost string `cbor:"4,keyasint,omitempty"`
 }
 
 var (
--- a/entry/host.go
+++ b/entry/host.go
@@ -64,6 +64,7 @@
 	options := owner.Options{
 		Host: settings.Host, Process: process, Address: internal, Settings: settings, KV: kv, Ledger: records, Operator: h.operator,
 		Upstreams: platform.NewUpstreams(), Observe: h.metrics, Log: event,
+		Ask: func(message announce.Message) { h.sender.Send(message) },
 	}
 	if settings.Machines != "" {
 		options.Machines = platform.NewMachines(settings.Machines, h.metrics.platformCall)
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -19,6 +19,8 @@
 	Generation uint64 `cbor:"3,keyasint"`
 	// Address is where the owner accepts announcements.
 	Address string `cbor:"4,keyasint,omitempty"`
+	// Fitness is from 0 to 1; see owner.fitness.
+	Fitness float64 `cbor:"5,keyasint,omitempty"`
 }
 
 type chainRecord struct {
--- a/owner/load.go
+++ b/owner/load.go
@@ -153,6 +153,8 @@
 			r.core.AddJob(message.Job, message.Created, false, nil, false)
 		case message.Cancelled != "":
 			r.core.Cancel(message.Cancelled)
+		case message.FitterHost != "":
+			r.handOver(message.FitterHost)
 		}
 	}
 	select {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -48,7 +48,9 @@
 	Machines  *platform.Machines // nil: there is no list of machines
 	Advice    *platform.Advice   // nil: there is no advice service
 	Observe   Observer
-	Log       func(event string, fields ...any)
+	// Ask sends a message to the owner; best effort.
+	Ask func(announce.Message)
+	Log func(event string, fields ...any)
 }
 
 // Observer receives measurements, for metrics.
@@ -65,11 +67,14 @@
 	present atomic.Pointer[session] // while this host owns the fleet
 	known   atomic.Pointer[string]  // address of the owner, as last read
 	bounds  atomic.Pointer[platform.Bounds]
+	fitness float64
+	// askAgain is when this host may ask for the ownership after it has lost it.
+	askAgain time.Duration
 }
 
 // New returns an owner that does nothing until Run.
 func New(options Options) *Owner {
-	o := &Owner{Options: options}
+	o := &Owner{Options: options, fitness: fitness(options.Settings.Capacity)}
 	o.known.Store(new(string))
 	o.SetBounds(options.Settings.Bounds)
 	return o
@@ -102,7 +107,11 @@
 		switch {
 		case err == nil:
 			failing = false
-			if errors.Is(o.own(ctx, ownership, since), errYielded) {
+			err := o.own(ctx, ownership, since)
+			if !errors.Is(err, errFitter) {
+				o.askAgain = steady.Now() + askPause
+			}
+			if errors.Is(err, errYielded) || errors.Is(err, errFitter) {
 				steady.Sleep(ctx, yieldPause)
 			}
 		case errors.Is(err, ledger.ErrOwned):
@@ -125,6 +134,10 @@
 		steady.Sleep(ctx, failurePause)
 		return
 	}
+	record, err := ledger.DecodeOwner(item)
+	if err != nil {
+		o.Log("unreadable record of the owner", "revision", item.Revision, "error", err.Error())
+	}
 	after := item.Revision
 	for item.Revision != 0 && ctx.Err() == nil {
 		events, asOf, err := o.KV.Watch(ctx, ledger.OwnerKey, after, candidateWait)
@@ -136,6 +149,7 @@
 			return
 		}
 		after = asOf
+		o.askOwner(record)
 	}
 }
 
@@ -153,12 +167,15 @@
 	if item.Revision != 0 && record.Host != o.Host {
 		return nil, 0, ledger.ErrOwned
 	}
+	o.leaveToFitter(ctx)
 	since := steady.Now()
 	lease, _, err := o.KV.GrantLease(ctx, o.ttl(), callTimeout)
 	if err != nil {
 		return nil, 0, err
 	}
-	ownership, err := o.Ledger.Claim(ctx, ledger.OwnerRecord{Host: o.Host, Process: o.Process, Address: o.Address}, lease, callTimeout)
+	ownership, err := o.Ledger.Claim(ctx, ledger.OwnerRecord{
+		Host: o.Host, Process: o.Process, Address: o.Address, Fitness: o.fitness,
+	}, lease, callTimeout)
 	if err != nil {
 		if endErr := o.KV.EndLease(ctx, lease, callTimeout); endErr != nil {
 			o.Log("lease not ended", "lease", lease, "error", endErr.Error())
--- a/testbed/fleet/entry_test.go
+++ b/testbed/fleet/entry_test.go
@@ -30,18 +30,35 @@
 	stop    func()
 }
 
-func startHost(t *testing.T) *oneHost {
+func startFleet(t *testing.T) *fleet.Fleet {
 	f, err := fleet.New(fleet.Options{Zones: 1, UpstreamsPerZone: 2, Duration: 50 * time.Millisecond, Key: teamKey})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return f
+}
+
+func startHost(t *testing.T) *oneHost {
+	f := startFleet(t)
+	h := addHost(t, f, "edge-1", func(*platform.Settings) {})
+	stopHost := h.stop
+	h.stop = func() {
+		stopHost()
+		f.Close()
+	}
+	return h
+}
+
+// addHost starts an entry host whose settings are changed by change, and waits until it serves.
+func addHost(t *testing.T, f *fleet.Fleet, name string, change func(*platform.Settings)) *oneHost {
 	callers, readiness, internal := freePort(t), freePort(t), freePort(t)
-	text := f.Settings("edge-1", fleet.ZoneName(0), address(callers), address(readiness), internal)
+	text := f.Settings(name, fleet.ZoneName(0), address(callers), address(readiness), internal)
 	settings, err := platform.ParseSettings(text)
 	if err != nil {
 		t.Fatal(err)
 	}
 	settings.Bounds.Grace = time.Second
+	change(&settings)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	host := entry.New(settings, io.Discard)
@@ -52,7 +69,6 @@
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
-		f.Close()
 	}
 	for range 200 {
 		if status, _ := h.call(http.MethodGet, "", "", teamKey); status == http.StatusOK {
--- /dev/null
+++ b/testbed/fleet/owner_test.go
@@ -0,0 +1,69 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/ledger"
+	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/testbed/fleet"
+)
+
+func smallHost(s *platform.Settings) { s.Capacity = platform.HostCapacity{Cores: 0.192, LinkMbps: 10} }
+func largeHost(s *platform.Settings) { s.Capacity = platform.HostCapacity{Cores: 0.8, LinkMbps: 200} }
+
+// waitOwner waits until the named host owns the fleet.
+func waitOwner(t *testing.T, f *fleet.Fleet, host string, patience time.Duration) {
+	t.Helper()
+	kv := platform.NewKV(f.StoreAddress(), func(string, error) {})
+	owner := ""
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		item, err := kv.Get(t.Context(), ledger.OwnerKey, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		record, err := ledger.DecodeOwner(item)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if owner = record.Host; owner == host {
+			return
+		}
+	}
+	t.Fatalf("the fleet is owned by %q, not by %s", owner, host)
+}
+
+// Guards against a fleet that stays with a host too small for it while a larger one is there: the owner of 350
+// upstreams on 0.192 of a core and a link of 10 Mbit/s serves under half of the jobs.
+func TestLargeHostTakesOverFromSmallOne(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	defer f.Close()
+	small := addHost(t, f, "edge-small", smallHost)
+	defer small.stop()
+	waitOwner(t, f, "edge-small", 3*time.Second)
+	large := addHost(t, f, "edge-large", largeHost)
+	defer large.stop()
+	waitOwner(t, f, "edge-large", 8*time.Second)
+	status, _ := small.call("POST", jobID(1), oneTask, teamKey)
+	is.Equal(status, 200)
+	small.waitPhase(jobID(1), "succeeded")
+	is.Equal(len(f.Violations(map[string]string{jobID(1): "s"})), 0)
+}
+
+// Guards against small hosts that win the race for an ownership which has become free.
+func TestLargeHostClaimsFirst(t *testing.T) {
+	f := startFleet(t)
+	defer f.Close()
+	first := addHost(t, f, "edge-first", largeHost)
+	waitOwner(t, f, "edge-first", 3*time.Second)
+	for _, name := range []string{"edge-small-1", "edge-small-2", "edge-small-3"} {
+		defer addHost(t, f, name, smallHost).stop()
+	}
+	second := addHost(t, f, "edge-second", largeHost)
+	defer second.stop()
+	first.stop()
+	waitOwner(t, f, "edge-second", 2*time.Second)
+}
