--- a/entry/host.go
+++ b/entry/host.go
@@ -77,7 +77,7 @@
 	h.server = &server{
 		announce: h.announce,
 		ledger:   records, operator: h.operator, metrics: h.metrics, log: event,
-		draining: h.draining.Load,
+		draining: h.draining.Load, bundlePatience: bundlePatience(settings.Bounds),
 	}
 	return h
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -35,6 +35,10 @@
 	maxBody = 256 << 10
 	// bundleTries bounds how often a submission is decided anew because the bundle changed meanwhile.
 	bundleTries = 4
+	// defaultDowngrade stands in for a bound that the settings do not name.
+	defaultDowngrade = 250 * time.Millisecond
+	// arrivalReserve is the part of that bound that is kept for a call's way to this host.
+	arrivalReserve = 50 * time.Millisecond
 	// storeSilence is how long the store may be silent before calls are refused without asking it.
 	storeSilence = 2500 * time.Millisecond
 )
@@ -47,6 +51,18 @@
 	announce func(announce.Message)
 	log      func(event string, fields ...any)
 	draining func() bool
+	// bundlePatience bounds how long after its arrival a call may still be decided by a newer bundle. Calls that come
+	// meanwhile are decided by the older one, and this host must not seem to go back.
+	bundlePatience time.Duration
+}
+
+// bundlePatience returns how long a call may wait for the newest bundle.
+func bundlePatience(bounds platform.Bounds) time.Duration {
+	downgrade := bounds.Downgrade
+	if downgrade <= 0 {
+		downgrade = defaultDowngrade
+	}
+	return max(downgrade-arrivalReserve, arrivalReserve)
 }
 
 // reply is the answer to one call.
@@ -83,7 +99,9 @@
 	ctx, cancel := context.WithTimeout(request.Context(), s.patience(request))
 	defer cancel()
 	begin := time.Now()
-	c, refused := s.admit(ctx, request)
+	refresh, stop := context.WithTimeout(ctx, s.bundlePatience)
+	defer stop()
+	c, refused := s.admit(refresh, request)
 	if refused != nil {
 		s.logCall(request, "", *refused, begin)
 		return *refused
@@ -93,7 +111,7 @@
 	case c.rest == "" && request.Method == http.MethodGet:
 		r = s.pending(ctx, c)
 	case request.Method == http.MethodPost:
-		r = s.submit(ctx, c, request)
+		r = s.submit(ctx, refresh, c, request)
 	case request.Method == http.MethodGet:
 		r = s.state(ctx, c)
 	case request.Method == http.MethodDelete:
@@ -185,8 +203,8 @@
 }
 
 // submit stores a job. Once a write has been sent, the job may exist: only a certain answer of the store allows a
-// refusal that says it does not.
-func (s *server) submit(ctx context.Context, c call, request *http.Request) reply {
+// refusal that says it does not. refresh bounds readings of the bundle.
+func (s *server) submit(ctx, refresh context.Context, c call, request *http.Request) reply {
 	id, err := job.ParseID(c.rest)
 	if err != nil {
 		return reply{outcome: badID, inputs: []any{"error", err.Error()}}
@@ -222,7 +240,7 @@
 			}
 			return reply{outcome: accepted, inputs: inputs}
 		case errors.Is(err, ledger.ErrStaleBundle):
-			if refused := s.readmit(ctx, &c, request); refused != nil {
+			if refused := s.readmit(refresh, &c, request); refused != nil {
 				return *refused
 			}
 		case errors.Is(err, platform.ErrNotDone):
--- a/testbed/fleet/entry_test.go
+++ b/testbed/fleet/entry_test.go
@@ -180,6 +180,19 @@
 	h.waitPhase(jobID(2), "succeeded")
 }
 
+// Guards against a host that seems to go back to an older configuration: a call that waits long for the newest one is
+// answered by it, while calls that came after it were answered by the older one.
+func TestConfigurationIsNotAwaitedForLong(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t)
+	defer h.stop()
+	h.fleet.Store.SetFaults(fleet.StoreFaults{Slowness: 600 * time.Millisecond})
+	begin := time.Now()
+	status, _ := h.call(http.MethodGet, "", "", "no-key")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(time.Since(begin) < 300*time.Millisecond)
+}
+
 // Guards against bad input that is accepted, or that ends the process.
 func TestBadInputIsRefused(t *testing.T) {
 	h := startHost(t)
