schedule: machines move at once after a change of owner

A new owner gave no orders for any machine for lease_ms, since it did not know which ones the earlier owner had ordered. These are now stored in cg/ordered before their first order, and only they are left alone. Waves still wait for all: an order of the earlier owner that is carried out late would take one machine more down.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,6 +10,7 @@
 //	cg/owner            who owns the fleet; leased
 //	cg/chain            rises with each write of an owner; each of these is conditioned on it
 //	cg/roster           upstreams on which tasks may run
+//	cg/ordered          machines for which the owner may have given orders
 //	cg/pending          for each queue, the number of jobs of which no task has started
 //	cg/wave/N           how far a wave of upkeep is
 package ledger
@@ -31,6 +32,7 @@
 	OwnerKey       = "cg/owner"
 	chainKey       = "cg/chain"
 	rosterKey      = "cg/roster"
+	orderedKey     = "cg/ordered"
 	pendingKey     = "cg/pending"
 	wavePrefix     = "cg/wave/"
 	cancelSuffix   = "/cancel"
@@ -51,6 +53,8 @@
 	ErrNoJob = errors.New("no such job")
 	// ErrDeposed: another owner has taken over, or this one's ownership ended.
 	ErrDeposed = errors.New("no longer the owner")
+	// ErrUnreadable: a record of the system's own cannot be decoded.
+	ErrUnreadable = errors.New("unreadable record")
 )
 
 // Ledger reads and writes the records. It is safe for concurrent use.
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -140,7 +140,7 @@
 
 // MaxJobsPerWrite is the number of jobs that fit into one Write with removals counted keysPerJob times.
 const (
-	MaxJobsPerWrite = platform.MaxTxnEntries - 4 // the condition and the write of the chain, and two other records
+	MaxJobsPerWrite = platform.MaxTxnEntries - 5 // the condition and the write of the chain, and three other records
 	KeysPerRemoval  = 3
 )
 
@@ -260,6 +260,25 @@
 	return upstreams, nil
 }
 
+// OrderedWrite returns the record of the machines for which the owner may have given orders.
+func OrderedWrite(machines []string) (platform.Write, error) {
+	value, err := job.Encode(machines)
+	return platform.Write{Key: orderedKey, Value: value}, err
+}
+
+// Ordered reads the machines for which an earlier owner may have given orders.
+func (l *Ledger) Ordered(ctx context.Context, timeout time.Duration) ([]string, error) {
+	item, err := l.kv.Get(ctx, orderedKey, timeout)
+	if err != nil || item.Revision == 0 {
+		return nil, err
+	}
+	machines := []string{}
+	if err := job.Decode(item.Value, &machines); err != nil {
+		return nil, errors.Wrap(ErrUnreadable, err.Error())
+	}
+	return machines, nil
+}
+
 // DecodeOwner reads the owner's item. A key that does not exist gives an empty record.
 func DecodeOwner(item platform.Item) (OwnerRecord, error) {
 	var record OwnerRecord
--- a/owner/load.go
+++ b/owner/load.go
@@ -26,6 +26,9 @@
 	for _, entry := range roster {
 		r.core.Inherit(entry)
 	}
+	if err := r.readOrdered(ctx); err != nil {
+		return err
+	}
 	upstreamsAt, err := r.readUpstreams(ctx)
 	if err != nil {
 		return err
@@ -41,6 +44,18 @@
 	return nil
 }
 
+// readOrdered reads the machines that an earlier owner may have given orders for.
+func (r *session) readOrdered(ctx context.Context) error {
+	machines, err := r.Ledger.Ordered(ctx, readTimeout)
+	if errors.Is(err, ledger.ErrUnreadable) {
+		r.Log("unreadable record of ordered machines", "error", err.Error())
+		r.core.InheritUnknownOrders()
+		return nil
+	}
+	r.core.InheritOrders(machines)
+	return err
+}
+
 func (r *session) readUpstreams(ctx context.Context) (uint64, error) {
 	items, asOf, err := r.KV.All(ctx, platform.UpstreamPrefix, readTimeout)
 	if err != nil {
--- a/owner/store.go
+++ b/owner/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/ledger"
 	"citrongauge.example/citrongauge/platform"
@@ -25,17 +27,18 @@
 	if r.roster == nil && pending == nil && len(waves) == 0 && !r.core.NeedsStoring() {
 		return
 	}
-	round, records := r.core.Take()
-	writes := r.addWaves(batch(records), waves)
-	if err := r.addExtras(&writes, pending); err != nil {
-		r.Log("record not encoded", "error", err.Error())
+	round := r.core.Take()
+	writes := r.addWaves(batch(round.Jobs), waves)
+	if err := r.addExtras(&writes, pending, round.Machines); err != nil {
+		r.failure = errors.Wrap(err, "encode records")
+		return
 	}
 	roster := r.roster
 	r.roster = nil
 	r.storing = true
 	go func() {
 		err := r.storeAll(ctx, writes)
-		r.post(ctx, func(r *session) { r.stored(round, roster, err) })
+		r.post(ctx, func(r *session) { r.stored(round.Number, roster, err) })
 	}()
 }
 
@@ -86,9 +89,16 @@
 	return writes
 }
 
-// addExtras adds the roster and the numbers of waiting jobs to the first transaction.
-func (r *session) addExtras(writes *[]ledger.Write, pending map[string]int) error {
+// addExtras adds the roster, the machines with orders and the numbers of waiting jobs to the first transaction.
+func (r *session) addExtras(writes *[]ledger.Write, pending map[string]int, machines []string) error {
 	first := &(*writes)[0]
+	if machines != nil {
+		write, err := ledger.OrderedWrite(machines)
+		if err != nil {
+			return err
+		}
+		first.Extra = append(first.Extra, write)
+	}
 	if r.roster != nil {
 		write, err := ledger.RosterWrite(r.roster)
 		if err != nil {
--- /dev/null
+++ b/schedule/backlog.go
@@ -0,0 +1,53 @@
+package schedule
+
+import "time"
+
+// backlogGap is the pause between two reports on a pool's waiting tasks.
+const backlogGap = time.Second
+
+// backlog counts a pool's waiting tasks by what they wait for.
+type backlog struct {
+	unseen int // they may run on an upstream that was not reached since the claim
+	cap    int // their team has as much running as it may
+	room   int // no usable upstream has room
+	oldest time.Duration
+}
+
+// reportBacklog logs, once in backlogGap, why tasks of the pool wait, if one has waited for starvedAfter.
+func (c *Core) reportBacklog(p *pool, usable int) {
+	if c.now < p.backlogAgain {
+		return
+	}
+	p.backlogAgain = c.now + backlogGap
+	var b backlog
+	for part := range p.parts.all() {
+		for i := range part.tasks {
+			if t := &part.tasks[i]; t.waits(c.now) {
+				c.countWaiting(&b, part, t)
+			}
+		}
+	}
+	if b.oldest < starvedAfter {
+		return
+	}
+	unsettled := 0
+	for _, up := range p.upstreams.all() {
+		if !up.settled {
+			unsettled++
+		}
+	}
+	c.Log("tasks wait", "pool", p.name, "for_room", b.room, "for_cap", b.cap, "may_run_unseen", b.unseen,
+		"oldest_ms", b.oldest.Milliseconds(), "usable", usable, "upstreams", p.upstreams.len(), "unsettled", unsettled)
+}
+
+func (c *Core) countWaiting(b *backlog, p *part, t *task) {
+	b.oldest = max(b.oldest, c.now-max(p.releasedAt, t.requeuedAt, t.notBefore))
+	switch {
+	case c.mayRunUnseen(p):
+		b.unseen++
+	case !p.job.team.allows(p.step.Request):
+		b.cap++
+	default:
+		b.room++
+	}
+}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -71,7 +71,12 @@
 	sizeAgain time.Duration
 	// machineOrders numbers the orders for machines. A copy of an earlier order that is carried out late has a lower
 	// fencing token than a newer one.
-	machineOrders uint64
+	machineOrders   uint64
+	orders          *ordered[string, *machineOrders] // by machine
+	held            []heldOrder
+	ordersDirty     bool            // orders has machines that are not stored
+	inheritedOrders map[string]bool // machines for which an earlier owner may have given orders
+	unknownOrders   bool            // an earlier owner may have given orders for any machine
 
 	calls []Call
 	// anyUnsettled is set while an upstream exists that was not reached since the claim.
@@ -107,6 +112,8 @@
 	arrived   []arrivedWork
 	// roomySince is when the pool last needed its machines.
 	roomySince time.Duration
+	// backlogAgain is when the pool's waiting tasks may be reported again.
+	backlogAgain time.Duration
 }
 
 type team struct {
@@ -126,6 +133,7 @@
 		evacuated: map[string]bool{}, dirty: newOrdered[job.ID, *jobState](),
 		endedIDs: map[job.ID]struct{}{}, waves: newOrdered[int, *wave](),
 		moves: newOrdered[string, *machineMove](), moveAgain: map[string]time.Duration{},
+		orders: newOrdered[string, *machineOrders](), inheritedOrders: map[string]bool{},
 	}
 }
 
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -83,7 +83,7 @@
 	var c calls
 	all := b.core.Decide()
 	if b.core.NeedsStoring() {
-		round, _ := b.core.Take()
+		round := b.core.Take().Number
 		b.core.Stored(round)
 		all = append(all, b.core.Decide()...)
 	}
--- /dev/null
+++ b/schedule/orders.go
@@ -0,0 +1,104 @@
+package schedule
+
+import "time"
+
+// Orders for machines. Two holders of one machine must not take turns within the platform's pause between holders. So
+// the machines that an owner gives orders for are stored before the first order, and the next owner leaves just those
+// alone for the pause.
+
+// machineOrders are this owner's orders for one machine.
+type machineOrders struct {
+	round uint64        // with which the machine is stored
+	last  time.Duration // when the newest order was given
+}
+
+// heldOrder waits until its machine is stored.
+type heldOrder struct {
+	machine string
+	call    Call
+}
+
+// InheritOrders names the machines that an earlier owner may have given orders for.
+func (c *Core) InheritOrders(machines []string) {
+	for _, name := range machines {
+		c.inheritedOrders[name] = true
+	}
+}
+
+// InheritUnknownOrders notes that an earlier owner may have given orders for any machine.
+func (c *Core) InheritUnknownOrders() { c.unknownOrders = true }
+
+// holdersPause returns until when the orders of an earlier owner hinder new ones.
+func (c *Core) holdersPause() time.Duration { return c.Claimed + c.Bounds.Holder + holderMargin }
+
+// mayOrder reports whether an order for the machine may be given now.
+func (c *Core) mayOrder(machine string) bool {
+	return c.now >= c.holdersPause() || !c.unknownOrders && !c.inheritedOrders[machine]
+}
+
+// order gives an order for a machine, at once if the machine is stored.
+func (c *Core) order(machine string, call Call) {
+	o := c.orders.get(machine)
+	if o == nil {
+		o = &machineOrders{round: c.round + 1}
+		c.orders.set(machine, o)
+		c.ordersDirty = true
+	}
+	o.last = c.now
+	if o.round <= c.durable {
+		c.calls = append(c.calls, call)
+		return
+	}
+	c.held = append(c.held, heldOrder{machine, call})
+}
+
+// sendHeld gives the orders whose machines are stored now.
+func (c *Core) sendHeld() {
+	waiting := c.held[:0]
+	for _, h := range c.held {
+		o := c.orders.get(h.machine)
+		if o.round > c.durable {
+			waiting = append(waiting, h)
+			continue
+		}
+		o.last = c.now
+		c.calls = append(c.calls, h.call)
+	}
+	c.held = waiting
+}
+
+// takeOrders returns the machines to be stored, or nil if they are unchanged. Machines without an order for longer than
+// the pause between holders are left out.
+func (c *Core) takeOrders() []string {
+	if !c.ordersDirty {
+		return nil
+	}
+	c.ordersDirty = false
+	names := []string{}
+	for name, o := range c.orders.all() {
+		if c.now > o.last+c.Bounds.Holder+holderMargin && !c.isOrdered(name) {
+			c.orders.delete(name)
+			continue
+		}
+		names = append(names, name)
+	}
+	if c.now < c.holdersPause() {
+		for name := range c.inheritedOrders {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// isOrdered reports whether an order for the machine is open.
+func (c *Core) isOrdered(machine string) bool {
+	if c.moves.get(machine) != nil {
+		return true
+	}
+	for _, w := range c.waves.all() {
+		if m := w.machines.get(machine); m != nil && m.state == machineOrdered {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/schedule/orders_test.go
@@ -0,0 +1,79 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
+)
+
+// withTwoSpares adds a second machine to the spare pool.
+func (b *bench) withTwoSpares() {
+	b.withSpare()
+	b.core.SetMachines([]platform.Machine{
+		{Name: "m-u-1", Pool: testPool, Phase: platform.MachineUp, Upstream: "u-1"},
+		{Name: "m-off", Pool: sparePool, Phase: platform.MachineUp},
+		{Name: "m-off-2", Pool: sparePool, Phase: platform.MachineUp},
+	})
+}
+
+// Guards against a pool that stays too small for 3 s after each change of owner: machines that no earlier owner has
+// given orders for may move at once (13.7 s to 16.7 s of karri-sched-grown trouble-3, with 5,000 tasks waiting for room).
+func TestMachinesWithoutOrdersMoveAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.core.InheritOrders([]string{"m-off"})
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.withTwoSpares()
+	b.job(1, 48, 1000)
+	moves := b.moves(time.Second, nil)
+	is.Equal(len(moves), 1)
+	is.Equal(moves[0].Machine, "m-off-2")
+	moves = b.moves(4*time.Second, nil) // after the pause between holders
+	is.True(len(moves) > 0)
+	is.Equal(moves[0].Machine, "m-off")
+}
+
+// Guards against orders for machines when it is not known which an earlier owner has given orders for.
+func TestUnreadableOrdersHoldAllMachines(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.core.InheritUnknownOrders()
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.withTwoSpares()
+	b.job(1, 48, 1000)
+	is.Equal(len(b.moves(2*time.Second, nil)), 0)
+}
+
+// Guards against an order that a later owner does not know of: the two would take turns on one machine.
+func TestMachineIsStoredBeforeItsFirstOrder(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.withTwoSpares()
+	b.job(1, 48, 1000)
+	for range 10 {
+		for _, call := range b.core.Decide() {
+			if _, ok := call.(schedule.Move); ok {
+				t.Fatal("moved before its machine was stored")
+			}
+		}
+		b.at(50 * time.Millisecond)
+	}
+	round := b.core.Take()
+	is.Equal(len(round.Machines), 2)
+	b.core.Stored(round.Number)
+	n := 0
+	for _, call := range b.core.Decide() {
+		if _, ok := call.(schedule.Move); ok {
+			n++
+		}
+	}
+	is.Equal(n, 2)
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -41,6 +41,7 @@
 
 func (c *Core) placePool(p *pool) {
 	usable := c.usable(p)
+	defer c.reportBacklog(p, len(usable))
 	if len(usable) == 0 {
 		return
 	}
--- a/schedule/records.go
+++ b/schedule/records.go
@@ -13,20 +13,30 @@
 	Remove   bool
 }
 
+// Round is what is to be stored in one go. It is to be confirmed by Stored, in order.
+type Round struct {
+	Number uint64
+	Jobs   []Record
+	// Machines are those for which orders may have been given; nil: unchanged.
+	Machines []string
+}
+
 // touch marks a job's progress for storing.
 func (c *Core) touch(j *jobState) { c.dirty.set(j.ID, j) }
 
 // retentionFactor keeps the records of ended jobs beyond the platform's bound: a client's repeat may come late.
 const retentionFactor = 2
 
-// Take returns the records of a new round. The round is to be confirmed by Stored, in order.
-func (c *Core) Take() (round uint64, records []Record) {
+// Take returns a new round.
+func (c *Core) Take() Round {
 	c.round++
+	round := Round{Number: c.round, Machines: c.takeOrders()}
 	for id, j := range c.dirty.all() {
-		records = append(records, Record{ID: id, Progress: j.snapshot()})
+		round.Jobs = append(round.Jobs, Record{ID: id, Progress: j.snapshot()})
 		c.dirty.delete(id)
 	}
-	return c.round, append(records, c.expired()...)
+	round.Jobs = append(round.Jobs, c.expired()...)
+	return round
 }
 
 func (c *Core) retire(id job.ID, endedMS int64) {
@@ -49,22 +59,23 @@
 	return records
 }
 
-// NeedsStoring reports whether Take would return records.
+// NeedsStoring reports whether Take would return anything.
 func (c *Core) NeedsStoring() bool {
-	if c.dirty.len() > 0 {
+	if c.dirty.len() > 0 || c.ordersDirty {
 		return true
 	}
 	horizon := c.wallMS - retentionFactor*c.Bounds.Retention.Milliseconds()
 	return len(c.retired) > 0 && c.retired[0].endedMS < horizon
 }
 
-// StartsWait reports whether starts wait for a record to be stored.
-func (c *Core) StartsWait() bool { return len(c.planned) > 0 }
+// StartsWait reports whether starts or orders for machines wait for a record to be stored.
+func (c *Core) StartsWait() bool { return len(c.planned) > 0 || len(c.held) > 0 }
 
 // Stored confirms that the records of a round are stored. Ends that they cover may now be acknowledged.
 func (c *Core) Stored(round uint64) {
 	c.durable = round
 	c.sendPlanned()
+	c.sendHeld()
 	for _, up := range c.upstreams.all() {
 		up.advanceAck(round)
 	}
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -98,7 +98,7 @@
 
 // size orders the moves that the pools need now.
 func (c *Core) size() {
-	if c.now < c.sizeAgain || !c.mayOrderMachines() || !c.bundleSet {
+	if c.now < c.sizeAgain || c.machines == nil || !c.bundleSet {
 		return
 	}
 	c.sizeAgain = c.now + sizeEvery
@@ -162,11 +162,6 @@
 	return best
 }
 
-// mayOrderMachines reports whether the list of machines is known and no earlier holder's orders are on their way.
-func (c *Core) mayOrderMachines() bool {
-	return c.machines != nil && c.now >= c.Claimed+c.Bounds.Holder+holderMargin
-}
-
 func (c *Core) demandOf(p *pool) poolDemand {
 	d := poolDemand{pool: p}
 	var used int64
@@ -178,21 +173,42 @@
 		}
 		d.unit = max(d.unit, up.Capacity.MilliCPU)
 	}
-	arriving := false
-	for _, m := range c.moves.all() {
-		if m.Pool == p.name {
-			d.have += d.unit
-			arriving = true
-		}
-	}
+	arriving := c.arriving(p)
+	d.have += int64(arriving) * d.unit
 	need := max(used+c.waitingCPU(p), used+p.offered(c.now)-p.timedCPU())
 	d.need = int64((1 + headroom) * float64(need))
-	if !arriving && c.isStarved(p) {
+	if arriving == 0 && c.isStarved(p) {
 		d.need = max(d.need, d.have+1)
 	}
 	return d
 }
 
+// arriving returns the number of machines that are about to join a pool: by this owner's orders, and by an earlier
+// owner's as far as the list shows them.
+func (c *Core) arriving(p *pool) int {
+	n := 0
+	for _, m := range c.moves.all() {
+		if m.Pool == p.name {
+			n++
+		}
+	}
+	for name := range c.inheritedOrders {
+		if m := c.machines[name]; m.Phase == platform.MachineMoving && m.Pool == p.name && !p.hasMachine(name) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *pool) hasMachine(name string) bool {
+	for _, up := range p.upstreams.all() {
+		if up.Machine == name && up.listed {
+			return true
+		}
+	}
+	return false
+}
+
 // isStarved reports whether a task has waited for some time that its team may start. Where the pool has processors to
 // spare, it lacks something else: memory, a label, or upstreams over which a step has to spread.
 func (c *Core) isStarved(p *pool) bool {
@@ -294,7 +310,7 @@
 
 // isMovable reports whether nothing else is being done with a machine.
 func (c *Core) isMovable(name string) bool {
-	if c.moves.get(name) != nil || c.now < c.moveAgain[name] {
+	if c.moves.get(name) != nil || c.now < c.moveAgain[name] || !c.mayOrder(name) {
 		return false
 	}
 	for _, w := range c.waves.all() {
@@ -333,7 +349,7 @@
 	c.stats.Moves++
 	c.Log("move", "machine", machine, "from", m.from, "to", d.pool.name, "upstream", m.old, "have", d.have, "need", d.need,
 		"machines", d.machines)
-	c.calls = append(c.calls, m.Move)
+	c.order(machine, m.Move)
 }
 
 // advanceMoves repeats orders without an answer and ends moves whose machine has joined, or does not come.
@@ -342,7 +358,7 @@
 		switch {
 		case !m.accepted && m.retryAt > 0 && c.now >= m.retryAt:
 			m.retryAt = 0
-			c.calls = append(c.calls, m.Move)
+			c.order(name, m.Move)
 		case m.accepted && c.spare[m.Pool]:
 			if c.now > m.since+c.Bounds.Migrate {
 				c.moves.delete(name)
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -29,7 +29,7 @@
 			}
 		}
 		if b.core.NeedsStoring() {
-			round, _ := b.core.Take()
+			round := b.core.Take().Number
 			b.core.Stored(round)
 		}
 		b.answerAll(c, running)
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -195,9 +195,10 @@
 	return nil
 }
 
-// upkeep moves the waves on.
+// upkeep moves the waves on. An earlier owner's order that is carried out late would take one machine more down than
+// the wave allows; it is over after the pause between holders.
 func (c *Core) upkeep() {
-	if !c.mayOrderMachines() {
+	if c.machines == nil || c.now < c.holdersPause() {
 		return
 	}
 	for _, w := range c.waves.all() {
@@ -306,10 +307,10 @@
 		}
 		c.machineOrders++
 		m.number = c.machineOrders
-		c.order(w, m)
+		c.orderUpkeep(w, m)
 	case machineOrdered:
 		if m.retryAt > 0 && c.now >= m.retryAt {
-			c.order(w, m)
+			c.orderUpkeep(w, m)
 		}
 	case machineDown:
 		up := c.upstreamOf(m.name)
@@ -337,10 +338,10 @@
 	return n
 }
 
-func (c *Core) order(w *wave, m *waveMachine) {
+func (c *Core) orderUpkeep(w *wave, m *waveMachine) {
 	m.state, m.retryAt, m.since = machineOrdered, 0, c.now
 	c.Log("upkeep ordered", "wave", w.Number, "machine", m.name, "upstream", m.old, "down", w.count(machineDown))
-	c.calls = append(c.calls, Upkeep{Machine: m.name, Wave: w.Number, Number: m.number})
+	c.order(m.name, Upkeep{Machine: m.name, Wave: w.Number, Number: m.number})
 }
 
 // emptied reports whether nothing runs on a machine's upstream. It moves long-running tasks away, one of a step at a
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -481,7 +481,7 @@
 // store writes a round. Until it is confirmed the records are either there or not; a dead owner's round may be there.
 func (w *world) store(o *ownerSim) {
 	o.storing = true
-	round, records := o.core.Take()
+	round := o.core.Take()
 	roster := noRoster
 	noRoster = nil
 	applied := false
@@ -490,7 +490,7 @@
 			return // another owner has claimed: the condition does not hold
 		}
 		applied = true
-		for _, record := range records {
+		for _, record := range round.Jobs {
 			if record.Remove {
 				w.judgeRemoval(w.stored[record.ID])
 				continue
@@ -504,7 +504,7 @@
 		if !o.dead {
 			o.storing = false
 			o.core.RosterStored(roster)
-			o.core.Stored(round)
+			o.core.Stored(round.Number)
 		}
 	}})
 }
