schedule: park a tenth of a pool's machines at a time

A pool of 62 to 85 machines that had no work was parked one machine in 150 ms, which took longer than its work stayed away.

Test: TestLargePoolIsParkedInTime, which failed with one machine at a time.

--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -24,6 +24,8 @@
 	// others move to the spare pool, where they cost nothing, after parkAfter without work.
 	parkReserve = 4
 	parkAfter   = 3 * time.Second
+	// parkShare of a pool's machines, and one at least, are parked at a time: demand may be back soon.
+	parkShare = 0.1
 	// starvedAfter is how long a task waits beside free processors before its pool gets one more machine.
 	starvedAfter = 700 * time.Millisecond
 	// moveRetry is the pause before an order without an answer is sent again, moveRefused the time for which a machine
@@ -135,7 +137,12 @@
 	if spare == "" || c.now < p.roomySince+parkAfter {
 		return
 	}
-	if up := c.idleUpstream(p); up != nil {
+	spared := min(int((d.have-d.need)/max(d.unit, 1)), d.machines-p.hostsWanted()) - parkReserve
+	for range min(spared, max(1, int(parkShare*float64(d.machines)))) {
+		up := c.idleUpstream(p)
+		if up == nil {
+			return
+		}
 		c.move(up.Machine, up, &poolDemand{pool: c.pool(spare)})
 	}
 }
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -95,3 +96,23 @@
 	b.job(3, 1, 1000)
 	is.Equal(len(b.decide().starts), 1) // the others are served
 }
+
+// Guards against a large pool that stays on for 10 s and more without work: machines were parked one at a time.
+func TestLargePoolIsParkedInTime(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	listed := []platform.Machine{{Name: "m-off", Pool: sparePool, Phase: platform.MachineUp}}
+	for i := range 70 {
+		id := fmt.Sprintf("u-%02d", i)
+		b.upstream(id)
+		listed = append(listed, platform.Machine{Name: "m-" + id, Pool: testPool, Phase: platform.MachineUp, Upstream: id})
+	}
+	b.fence(platform.Lists{})
+	b.withSpare()
+	b.core.SetMachines(listed)
+	parked := b.moves(6*time.Second, nil)
+	is.True(len(parked) >= 50) // 3 s without work, then 3 s of parking
+	for _, move := range parked {
+		is.Equal(move.Pool, sparePool)
+	}
+}
