schedule: pack timed tasks, so that machines are free to move

Cause: only an upstream without runs can move to another pool or be parked. Tasks now go to the fullest upstream that has room. Filling tasks, which take no room, and those with a bound on their tail latency are still spread.

Test: TestTasksArePacked failed first.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -374,10 +374,15 @@
 	packBonus = 1.0
 )
 
-// score rates an upstream for a task; more is better. Load is spread: tasks disturb each other.
+// score rates an upstream for a task; more is better. Load is packed, so that whole machines stay free to move to
+// another pool or to be parked. Tasks that fill or that have a bound on their tail latency are spread: they take no room
+// of their own, or suffer from their neighbours.
 func (c *Core) score(p *part, t *task, up *upstream) float64 {
 	capacity := float64(max(up.Capacity.MilliCPU, 1))
-	score := float64(up.Capacity.MilliCPU-up.demand) / capacity
+	score := float64(up.demand) / capacity
+	if p.step.Fills || p.step.TailLimit > 0 {
+		score = -score
+	}
 	if p.step.Rack != "" && up.rack == p.step.Rack {
 		score += rackBonus
 	}
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -116,3 +116,39 @@
 		is.Equal(move.Pool, sparePool)
 	}
 }
+
+// Guards against load that is spread so thinly that no machine of a pool with much room is free to move: 178 upstreams
+// lent one machine a second to a pool with 2,188 waiting tasks (karri-sched-grown trouble-2, 52 s to 56 s).
+func TestTasksArePacked(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	for i := range 4 {
+		b.upstream(fmt.Sprintf("u-%d", i))
+	}
+	b.fence(platform.Lists{})
+	used := map[string]bool{}
+	for i := range 4 {
+		b.job(i+1, 2, 1000)
+		for _, start := range b.decide().starts {
+			used[start.Target.ID] = true
+		}
+		b.at(20 * time.Millisecond)
+	}
+	is.Equal(len(used), 1)
+}
+
+// Guards against filling tasks that pile up on one upstream, as they take no room of its capacity.
+func TestFillingTasksAreSpread(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	for i := range 4 {
+		b.upstream(fmt.Sprintf("u-%d", i))
+	}
+	b.fence(platform.Lists{})
+	b.add(1, job.Step{Count: 4, Request: job.Resources{MilliCPU: 8000}, Fills: true, Estimate: time.Second})
+	used := map[string]bool{}
+	for _, start := range b.decide().starts {
+		used[start.Target.ID] = true
+	}
+	is.Equal(len(used), 4)
+}
