schedule: after a takeover only tasks that may run unseen wait

Now the upstream of each task is stored before its start.

Test: TestOnlyUnseenTasksWaitAfterATakeover, whose tasks 1 and 2 the old rule held for the lease.

--- a/job/progress.go
+++ b/job/progress.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"slices"
+
 	"github.com/go-faster/errors"
 
 	"citrongauge.example/citrongauge/codec"
@@ -58,9 +60,32 @@
 	Step       int           `cbor:"2,keyasint,omitempty"`
 	Done       []byte        `cbor:"3,keyasint,omitempty"` // bitmap by task index
 	Failures   []TaskFailure `cbor:"4,keyasint,omitempty"`
-	// Hosts are the upstreams on which the part's tasks may have been started. An upstream is recorded before the first
-	// start there, so that a later owner knows where tasks may run that it cannot see.
-	Hosts []string `cbor:"5,keyasint,omitempty"`
+	// Hosts are upstreams, and Placed says for each task on which of them it was started last: its index in Hosts plus 1,
+	// 0 for none. An upstream is recorded before the start there, so that a later owner knows which tasks may run where
+	// it cannot see them. Tasks that are done have none.
+	Hosts  []string `cbor:"5,keyasint,omitempty"`
+	Placed []uint32 `cbor:"6,keyasint,omitempty"`
+}
+
+// Place records the upstream on which the task at index was started last.
+func (p *PartProgress) Place(index int, host string) {
+	number := slices.Index(p.Hosts, host)
+	if number < 0 {
+		number = len(p.Hosts)
+		p.Hosts = append(p.Hosts, host)
+	}
+	for index >= len(p.Placed) {
+		p.Placed = append(p.Placed, 0)
+	}
+	p.Placed[index] = uint32(number) + 1
+}
+
+// PlaceOf returns the upstream on which the task at index was started last, or an empty text.
+func (p *PartProgress) PlaceOf(index int) string {
+	if index >= len(p.Placed) || p.Placed[index] == 0 || int(p.Placed[index]) > len(p.Hosts) {
+		return ""
+	}
+	return p.Hosts[p.Placed[index]-1]
 }
 
 // TaskFailure is one attempt that ended in failure. The attempt's number keeps an end that is listed again, to a
--- a/schedule/backlog.go
+++ b/schedule/backlog.go
@@ -43,7 +43,7 @@
 func (c *Core) countWaiting(b *backlog, p *part, t *task) {
 	b.oldest = max(b.oldest, c.now-max(p.releasedAt, t.requeuedAt, t.notBefore))
 	switch {
-	case c.mayRunUnseen(p):
+	case c.mayRunUnseen(p, t):
 		b.unseen++
 	case !p.job.team.allows(p.step.Request):
 		b.cap++
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -36,7 +36,6 @@
 	releasedAt time.Duration // for the waiting time in logs
 	listed     bool          // in its pool's parts
 	tickets    *tickets
-	hosts      map[string]uint64 // round with which an upstream is recorded for the part's tasks
 }
 
 type task struct {
@@ -49,6 +48,10 @@
 	requeuedAt  time.Duration // 0: it has never run
 	lostOn      string        // upstream on which it last ended badly
 	restarts    int           // runs that were stopped for taking too long
+	// placed is the upstream on which it was started last, or is about to be, and placedRound the round with which that
+	// is stored.
+	placed      string
+	placedRound uint64
 }
 
 // speed is what was learned about the durations of a queue's tasks.
@@ -131,7 +134,7 @@
 		for number := range j.Steps {
 			step := &j.Steps[number]
 			p := &part{
-				job: j, step: step, occurrence: k, number: number, perHost: map[string]int{}, hosts: map[string]uint64{},
+				job: j, step: step, occurrence: k, number: number, perHost: map[string]int{},
 				progress: job.PartProgress{Occurrence: k, Step: number}, tasks: make([]task, step.Count),
 				arrival: c.arrivalOf(j, k),
 			}
@@ -184,10 +187,8 @@
 // restore takes over recorded progress.
 func (p *part) restore(recorded job.PartProgress) {
 	p.progress = recorded
-	for _, id := range recorded.Hosts {
-		p.hosts[id] = 0
-	}
 	for i := range p.tasks {
+		p.tasks[i].placed = recorded.PlaceOf(i)
 		if recorded.IsDone(i) {
 			p.tasks[i].done = true
 			p.done++
--- a/schedule/lease_test.go
+++ b/schedule/lease_test.go
@@ -83,3 +83,43 @@
 	is.Equal(listed, 1)
 	is.Equal(answering, 1)
 }
+
+// Guards against tasks that wait for the lease of an earlier owner though they cannot run anywhere: one unreachable
+// upstream held up all tasks of the steps that had a task there (karri-sched scale-1, 35 s to 40 s).
+func TestOnlyUnseenTasksWaitAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	dark := platform.Upstream{
+		ID: "u-dark", Pool: testPool, Address: "u-dark:1", Zone: "a", Born: 1, Capacity: job.Resources{MilliCPU: 16000, MemoryMB: 64000},
+	}
+	b.core.Inherit(dark)
+	progress := job.Progress{Phase: job.Active, Parts: []job.PartProgress{{}}}
+	progress.Parts[0].Place(0, "u-dark")
+	progress.Parts[0].Place(1, "u-1")
+	id := job.ID("0000000000000001")
+	b.core.AddJob(&job.Job{
+		ID: id, Team: testTeam, Queue: testJobQueue(), Spec: "s", AcceptedMS: b.now.Milliseconds(),
+		Steps: []job.Step{{Count: 3, Request: job.Resources{MilliCPU: 1000}, Estimate: time.Second}},
+	}, 1, true, &progress, false)
+	started := map[int]time.Duration{}
+	for end := b.now + testLease + 2*time.Second; b.now < end; b.at(50 * time.Millisecond) {
+		next := b.decide()
+		for _, start := range next.starts {
+			if _, known := started[start.Order.Task.Index]; !known {
+				started[start.Order.Task.Index] = b.now
+			}
+		}
+		for _, look := range next.looks {
+			if look.Target.ID == "u-dark" {
+				b.core.Looked(look, platform.Lists{}, errors.Wrap(platform.ErrUnanswered, "dark"))
+			} else {
+				b.answer(look, platform.Lists{})
+			}
+		}
+	}
+	is.Equal(len(started), 3)
+	is.True(started[1] < time.Hour+time.Second)
+	is.True(started[2] < time.Hour+time.Second)
+	is.True(started[0] > time.Hour+testLease) // it may have run on u-dark until then
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -47,9 +47,6 @@
 	}
 	for _, candidate := range c.candidates(p) {
 		part := candidate.part
-		if c.mayRunUnseen(part) {
-			continue
-		}
 		if part.step.Gang {
 			c.placeGang(part, usable)
 		} else {
@@ -157,18 +154,14 @@
 	return false
 }
 
-// mayRunUnseen reports whether tasks of the part that are not seen anywhere may run all the same: an earlier owner may
-// have started them on an upstream that was not reached since the claim.
-func (c *Core) mayRunUnseen(p *part) bool {
-	if !p.job.inherited || !c.anyUnsettled {
+// mayRunUnseen reports whether a task that is not seen anywhere may run all the same: an earlier owner may have started it
+// on an upstream that was not reached since the claim.
+func (c *Core) mayRunUnseen(p *part, t *task) bool {
+	if !p.job.inherited || !c.anyUnsettled || t.done || len(t.runs) > 0 || t.placed == "" {
 		return false
 	}
-	for id := range p.hosts {
-		if up := c.upstreams.get(id); up != nil && !up.settled {
-			return true
-		}
-	}
-	return false
+	up := c.upstreams.get(t.placed)
+	return up != nil && !up.settled
 }
 
 // reserve estimates, for each team, what an earlier owner's tasks may use unseen: at most their requests, and at most
@@ -206,11 +199,8 @@
 			continue
 		}
 		for _, part := range j.parts {
-			if !c.mayRunUnseen(part) {
-				continue
-			}
 			for i := range part.tasks {
-				if t := &part.tasks[i]; !t.done && len(t.runs) == 0 {
+				if c.mayRunUnseen(part, &part.tasks[i]) {
 					unseen[j.team] = unseen[j.team].Add(part.step.Request)
 				}
 			}
@@ -233,7 +223,7 @@
 	room := p.step.Room()
 	for i := range p.tasks {
 		t := &p.tasks[i]
-		if !t.waits(c.now) {
+		if !t.waits(c.now) || c.mayRunUnseen(p, t) {
 			continue
 		}
 		if !p.job.team.allows(p.step.Request) {
@@ -257,7 +247,7 @@
 	attempt := uint64(0)
 	for i := range p.tasks {
 		t := &p.tasks[i]
-		if !t.waits(c.now) {
+		if !t.waits(c.now) || c.mayRunUnseen(p, t) {
 			return // an earlier attempt has not ended everywhere
 		}
 		attempt = max(attempt, c.nextAttempt(t))
--- a/schedule/records.go
+++ b/schedule/records.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"slices"
-
 	"citrongauge.example/citrongauge/job"
 )
 
@@ -95,7 +93,14 @@
 
 // mayRunUnseenOf reports whether tasks of the job may run on an upstream that was not reached since the claim.
 func (c *Core) mayRunUnseenOf(j *jobState) bool {
-	return slices.ContainsFunc(j.parts, c.mayRunUnseen)
+	for _, p := range j.parts {
+		for i := range p.tasks {
+			if c.mayRunUnseen(p, &p.tasks[i]) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // isQuiet reports whether nothing of the job runs any more.
@@ -120,16 +125,22 @@
 		progress.Phase = job.Active
 	}
 	for _, p := range j.parts {
-		if p.done > 0 || len(p.progress.Failures) > 0 || len(p.progress.Hosts) > 0 {
-			copied := p.progress
-			copied.Done = append([]byte(nil), p.progress.Done...)
-			copied.Failures = append([]job.TaskFailure(nil), p.progress.Failures...)
-			copied.Hosts = append([]string(nil), p.progress.Hosts...)
-			if p.isDone() {
-				copied.Hosts = nil
-			}
-			progress.Parts = append(progress.Parts, copied)
+		if recorded := p.snapshot(); recorded.Done != nil || recorded.Failures != nil || recorded.Placed != nil {
+			progress.Parts = append(progress.Parts, recorded)
 		}
 	}
 	return progress
 }
+
+func (p *part) snapshot() job.PartProgress {
+	recorded := p.progress
+	recorded.Done = append([]byte(nil), p.progress.Done...)
+	recorded.Failures = append([]job.TaskFailure(nil), p.progress.Failures...)
+	recorded.Hosts, recorded.Placed = nil, nil
+	for i := range p.tasks {
+		if t := &p.tasks[i]; !t.done && t.placed != "" {
+			recorded.Place(i, t.placed)
+		}
+	}
+	return recorded
+}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -80,21 +80,19 @@
 	c.Log("start", "job", p.job.ID, "task", r.id().String(), "attempt", attempt, "upstream", up.ID,
 		"free_cpu", up.room().MilliCPU, "waited_ms", (c.now - p.releasedAt).Milliseconds(),
 		"failures", t.failures, "clock_age_ms", (c.now - up.clockAt).Milliseconds())
-	if c.recordHost(p, up.ID) {
+	if c.recordPlace(p, t, up.ID) {
 		c.sendStart(r, ticket)
 	} else {
 		c.planned = append(c.planned, r)
 	}
 }
 
-// recordHost reports whether it is stored that tasks of the part may run on the upstream. If not, it has it stored.
-func (c *Core) recordHost(p *part, id string) bool {
-	round, known := p.hosts[id]
-	if known {
-		return round <= c.durable
+// recordPlace reports whether it is stored that the task may run on the upstream. If not, it has it stored.
+func (c *Core) recordPlace(p *part, t *task, id string) bool {
+	if t.placed == id {
+		return t.placedRound <= c.durable
 	}
-	p.hosts[id] = c.round + 1
-	p.progress.Hosts = append(p.progress.Hosts, id)
+	t.placed, t.placedRound = id, c.round+1
 	c.touch(p.job)
 	return false
 }
@@ -105,7 +103,7 @@
 	for _, r := range c.planned {
 		switch {
 		case r.dead:
-		case r.part.hosts[r.up.ID] > c.durable:
+		case r.task().placedRound > c.durable:
 			waiting = append(waiting, r)
 		case !c.isUsable(r.up) || (r.part.job.Queue.Advised && c.ticketFor(r.part, r.up) == ""):
 			c.settle(r)
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -221,12 +221,12 @@
 // spare, it lacks something else: memory, a label, or upstreams over which a step has to spread.
 func (c *Core) isStarved(p *pool) bool {
 	for part := range p.parts.all() {
-		if c.mayRunUnseen(part) || !part.job.team.allows(part.step.Request) || !p.couldHold(part.step) {
+		if !part.job.team.allows(part.step.Request) || !p.couldHold(part.step) {
 			continue
 		}
 		for i := range part.tasks {
 			t := &part.tasks[i]
-			if t.waits(c.now) && c.now > max(part.releasedAt, t.requeuedAt, t.notBefore)+starvedAfter {
+			if t.waits(c.now) && !c.mayRunUnseen(part, t) && c.now > max(part.releasedAt, t.requeuedAt, t.notBefore)+starvedAfter {
 				return true
 			}
 		}
@@ -255,7 +255,7 @@
 			continue
 		}
 		for i := range part.tasks {
-			if part.tasks[i].waits(c.now) {
+			if t := &part.tasks[i]; t.waits(c.now) && !c.mayRunUnseen(part, t) {
 				byTeam[part.job.team] += part.step.Room().MilliCPU
 			}
 		}
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -428,6 +428,7 @@
 			copied.Parts[i].Done = slices.Clone(copied.Parts[i].Done)
 			copied.Parts[i].Failures = slices.Clone(copied.Parts[i].Failures)
 			copied.Parts[i].Hosts = slices.Clone(copied.Parts[i].Hosts)
+			copied.Parts[i].Placed = slices.Clone(copied.Parts[i].Placed)
 		}
 		progress = &copied
 	}
