schedule: a machine is back from upkeep when its new upstream is known

Cause: the upstream of a machine was looked up by the list of machines, read every 2 s, and by the first entry that names the machine; the entry of the life before stays for some heartbeats. The newest life of each machine is now noted with its entry, which also saves a search over all upstreams.

Test: TestMachineIsBackWhenItsNewUpstreamIsKnown failed first.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -65,6 +65,7 @@
 	advised   bool // a queue needs advice
 	waves     *ordered[int, *wave]
 	machines  map[string]platform.Machine    // nil: the list was not read yet
+	lives     map[string]*upstream           // newest upstream of each machine
 	spare     map[string]bool                // pools whose machines are off
 	moves     *ordered[string, *machineMove] // by machine
 	moveAgain map[string]time.Duration       // when a machine whose move was refused may be tried again
@@ -130,6 +131,7 @@
 		Options: options,
 		jobs:    newOrdered[job.ID, *jobState](), upstreams: newOrdered[string, *upstream](), pools: newOrdered[string, *pool](),
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, speeds: map[string]*speed{},
+		lives:     map[string]*upstream{},
 		evacuated: map[string]bool{}, dirty: newOrdered[job.ID, *jobState](),
 		endedIDs: map[job.ID]struct{}{}, waves: newOrdered[int, *wave](),
 		moves: newOrdered[string, *machineMove](), moveAgain: map[string]time.Duration{},
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -201,20 +201,17 @@
 		}
 	}
 	for name := range c.inheritedOrders {
-		if m := c.machines[name]; m.Phase == platform.MachineMoving && m.Pool == p.name && !p.hasMachine(name) {
+		if m := c.machines[name]; m.Phase == platform.MachineMoving && m.Pool == p.name && !c.isIn(name, p) {
 			n++
 		}
 	}
 	return n
 }
 
-func (p *pool) hasMachine(name string) bool {
-	for _, up := range p.upstreams.all() {
-		if up.Machine == name && up.listed {
-			return true
-		}
-	}
-	return false
+// isIn reports whether the present life of a machine is an upstream of the pool.
+func (c *Core) isIn(machine string, p *pool) bool {
+	up := c.upstreamOf(machine)
+	return up != nil && up.Pool == p.name
 }
 
 // isStarved reports whether a task has waited for some time that its team may start. Where the pool has processors to
@@ -383,12 +380,8 @@
 
 // hasJoined reports whether a moved machine's new upstream can be used.
 func (c *Core) hasJoined(m *machineMove) bool {
-	for _, up := range c.pool(m.Pool).upstreams.all() {
-		if up.Machine == m.Machine && up.listed && up.fenced && up.stored {
-			return true
-		}
-	}
-	return false
+	up := c.upstreamOf(m.Machine)
+	return up != nil && up.Pool == m.Pool && up.fenced && up.stored
 }
 
 // MoveAnswered handles the answer to a Move.
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -180,19 +180,24 @@
 	}
 }
 
-// upstreamOf returns the upstream that is the present life of a machine.
+// upstreamOf returns the upstream that is the present life of a machine, or nil. The entry of the life before may be in
+// the store for some heartbeats more.
 func (c *Core) upstreamOf(machine string) *upstream {
-	if listed, ok := c.machines[machine]; ok && listed.Upstream != "" {
-		if up := c.upstreams.get(listed.Upstream); up != nil && up.listed {
-			return up
-		}
+	up := c.lives[machine]
+	if up == nil || !up.listed || c.upstreams.get(up.ID) != up {
+		return nil
 	}
-	for _, up := range c.upstreams.all() {
-		if up.Machine == machine && up.listed {
-			return up
-		}
+	return up
+}
+
+// noteLife keeps the newest life of each machine.
+func (c *Core) noteLife(up *upstream) {
+	if up.Machine == "" {
+		return
+	}
+	if known := c.upstreamOf(up.Machine); known == nil || known.gone || up.Born >= known.Born {
+		c.lives[up.Machine] = up
 	}
-	return nil
 }
 
 // upkeep moves the waves on. An earlier owner's order that is carried out late would take one machine more down than
--- a/schedule/upkeep_test.go
+++ b/schedule/upkeep_test.go
@@ -75,6 +75,28 @@
 	is.Equal(known, 1)
 }
 
+// Guards against a wave that waits for the list of machines, which is read every 2 s, though the machine's new upstream is
+// known: the entry of the one before stays in the store for some heartbeats.
+func TestMachineIsBackWhenItsNewUpstreamIsKnown(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.core.SetWaves(testWave(1, "m-u-1"), nil)
+	b.fence(platform.Lists{})
+	b.machines("u-1")
+	ordered := b.order()
+	b.core.UpkeepAnswered(ordered.upkeeps[0], nil)
+	b.core.WaveRecords()
+	b.at(2100 * time.Millisecond)
+	b.core.SetUpstream(platform.Upstream{
+		ID: "u-1b", Pool: testPool, Address: "u-1b:1", Zone: "a", Born: 2, Machine: "m-u-1", Capacity: job.Resources{MilliCPU: 16000},
+	})
+	b.decide()
+	records := b.core.WaveRecords()
+	is.Equal(len(records), 1)
+	is.Equal(records[0].Done, []string{"m-u-1"})
+}
+
 // Guards against an upkeep of a machine whose upstream was not reached since the claim: an earlier owner's tasks may
 // run there.
 func TestNoUpkeepOfAnUpstreamThatDoesNotAnswer(t *testing.T) {
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -115,6 +115,7 @@
 	up.Born = born
 	up.rack = platform.RackOf(entry.Labels)
 	up.listed = true
+	c.noteLife(up)
 }
 
 // UnlistUpstream notes that an upstream's entry has gone from the store. Nothing more starts there. What runs there
