schedule: waves go on at once after a change of owner

Cause: a new owner ordered no upkeep for the pause between holders (3.3 s), as late orders of the earlier one would take more machines down than the wave allows. Machines without an upkeep ordered by the earlier owner go on at once; the others count as down until this owner has ordered them.

Tests: TestWaveGoesOnAfterATakeover failed first, TestOrdersOfAnEarlierOwnerCountAsDown.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -53,8 +53,6 @@
 	ErrNoJob = errors.New("no such job")
 	// ErrDeposed: another owner has taken over, or this one's ownership ended.
 	ErrDeposed = errors.New("no longer the owner")
-	// ErrUnreadable: a record of the system's own cannot be decoded.
-	ErrUnreadable = errors.New("unreadable record")
 )
 
 // Ledger reads and writes the records. It is safe for concurrent use.
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -261,22 +261,18 @@
 }
 
 // OrderedWrite returns the record of the machines for which the owner may have given orders.
-func OrderedWrite(machines []string) (platform.Write, error) {
-	value, err := job.Encode(machines)
+func OrderedWrite(ordered any) (platform.Write, error) {
+	value, err := job.Encode(ordered)
 	return platform.Write{Key: orderedKey, Value: value}, err
 }
 
-// Ordered reads the machines for which an earlier owner may have given orders.
-func (l *Ledger) Ordered(ctx context.Context, timeout time.Duration) ([]string, error) {
+// Ordered reads that record into ordered, which it leaves alone if there is none.
+func (l *Ledger) Ordered(ctx context.Context, ordered any, timeout time.Duration) error {
 	item, err := l.kv.Get(ctx, orderedKey, timeout)
 	if err != nil || item.Revision == 0 {
-		return nil, err
-	}
-	machines := []string{}
-	if err := job.Decode(item.Value, &machines); err != nil {
-		return nil, errors.Wrap(ErrUnreadable, err.Error())
+		return err
 	}
-	return machines, nil
+	return job.Decode(item.Value, ordered)
 }
 
 // DecodeOwner reads the owner's item. A key that does not exist gives an empty record.
--- a/owner/load.go
+++ b/owner/load.go
@@ -9,6 +9,7 @@
 	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/ledger"
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
 	"citrongauge.example/citrongauge/steady"
 )
 
@@ -46,13 +47,14 @@
 
 // readOrdered reads the machines that an earlier owner may have given orders for.
 func (r *session) readOrdered(ctx context.Context) error {
-	machines, err := r.Ledger.Ordered(ctx, readTimeout)
-	if errors.Is(err, ledger.ErrUnreadable) {
+	var ordered schedule.Ordered
+	err := r.Ledger.Ordered(ctx, &ordered, readTimeout)
+	if errors.Is(err, job.ErrBadRecord) {
 		r.Log("unreadable record of ordered machines", "error", err.Error())
 		r.core.InheritUnknownOrders()
 		return nil
 	}
-	r.core.InheritOrders(machines)
+	r.core.InheritOrders(ordered)
 	return err
 }
 
--- a/owner/store.go
+++ b/owner/store.go
@@ -29,7 +29,7 @@
 	}
 	round := r.core.Take()
 	writes := r.addWaves(batch(round.Jobs), waves)
-	if err := r.addExtras(&writes, pending, round.Machines); err != nil {
+	if err := r.addExtras(&writes, pending, round.Ordered); err != nil {
 		r.failure = errors.Wrap(err, "encode records")
 		return
 	}
@@ -90,10 +90,10 @@
 }
 
 // addExtras adds the roster, the machines with orders and the numbers of waiting jobs to the first transaction.
-func (r *session) addExtras(writes *[]ledger.Write, pending map[string]int, machines []string) error {
+func (r *session) addExtras(writes *[]ledger.Write, pending map[string]int, ordered *schedule.Ordered) error {
 	first := &(*writes)[0]
-	if machines != nil {
-		write, err := ledger.OrderedWrite(machines)
+	if ordered != nil {
+		write, err := ledger.OrderedWrite(ordered)
 		if err != nil {
 			return err
 		}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -76,7 +76,7 @@
 	orders          *ordered[string, *machineOrders] // by machine
 	held            []heldOrder
 	ordersDirty     bool            // orders has machines that are not stored
-	inheritedOrders map[string]bool // machines for which an earlier owner may have given orders
+	inheritedOrders map[string]bool // machines for which an earlier owner may have given orders; true: for an upkeep
 	unknownOrders   bool            // an earlier owner may have given orders for any machine
 
 	calls []Call
--- a/schedule/orders.go
+++ b/schedule/orders.go
@@ -6,10 +6,17 @@
 // the machines that an owner gives orders for are stored before the first order, and the next owner leaves just those
 // alone for the pause.
 
+// Ordered names the machines for which an owner may have given orders lately.
+type Ordered struct {
+	Moves   []string `cbor:"1,keyasint,omitempty"`
+	Upkeeps []string `cbor:"2,keyasint,omitempty"`
+}
+
 // machineOrders are this owner's orders for one machine.
 type machineOrders struct {
-	round uint64        // with which the machine is stored
-	last  time.Duration // when the newest order was given
+	upkeep bool          // an upkeep is among them
+	round  uint64        // with which the machine is stored
+	last   time.Duration // when the newest order was given
 }
 
 // heldOrder waits until its machine is stored.
@@ -19,8 +26,11 @@
 }
 
 // InheritOrders names the machines that an earlier owner may have given orders for.
-func (c *Core) InheritOrders(machines []string) {
-	for _, name := range machines {
+func (c *Core) InheritOrders(ordered Ordered) {
+	for _, name := range ordered.Moves {
+		c.inheritedOrders[name] = false
+	}
+	for _, name := range ordered.Upkeeps {
 		c.inheritedOrders[name] = true
 	}
 }
@@ -33,14 +43,16 @@
 
 // mayOrder reports whether an order for the machine may be given now.
 func (c *Core) mayOrder(machine string) bool {
-	return c.now >= c.holdersPause() || !c.unknownOrders && !c.inheritedOrders[machine]
+	_, inherited := c.inheritedOrders[machine]
+	return c.now >= c.holdersPause() || !c.unknownOrders && !inherited
 }
 
 // order gives an order for a machine, at once if the machine is stored.
 func (c *Core) order(machine string, call Call) {
+	_, upkeep := call.(Upkeep)
 	o := c.orders.get(machine)
-	if o == nil {
-		o = &machineOrders{round: c.round + 1}
+	if o == nil || upkeep && !o.upkeep {
+		o = &machineOrders{round: c.round + 1, upkeep: upkeep}
 		c.orders.set(machine, o)
 		c.ordersDirty = true
 	}
@@ -67,27 +79,35 @@
 	c.held = waiting
 }
 
-// takeOrders returns the machines to be stored, or nil if they are unchanged. Machines without an order for longer than
+// takeOrders returns the machines to be stored, or nil if they are unchanged. Those without an order for longer than
 // the pause between holders are left out.
-func (c *Core) takeOrders() []string {
+func (c *Core) takeOrders() *Ordered {
 	if !c.ordersDirty {
 		return nil
 	}
 	c.ordersDirty = false
-	names := []string{}
+	ordered := &Ordered{}
 	for name, o := range c.orders.all() {
 		if c.isOver(name, o) {
 			c.orders.delete(name)
 			continue
 		}
-		names = append(names, name)
+		ordered.add(name, o.upkeep)
 	}
 	if c.now < c.holdersPause() {
-		for name := range c.inheritedOrders {
-			names = append(names, name)
+		for name, upkeep := range c.inheritedOrders {
+			ordered.add(name, upkeep)
 		}
 	}
-	return names
+	return ordered
+}
+
+func (o *Ordered) add(machine string, upkeep bool) {
+	if upkeep {
+		o.Upkeeps = append(o.Upkeeps, machine)
+	} else {
+		o.Moves = append(o.Moves, machine)
+	}
 }
 
 // isOver reports whether no other holder has to leave the machine alone any more.
--- a/schedule/orders_test.go
+++ b/schedule/orders_test.go
@@ -25,7 +25,7 @@
 func TestMachinesWithoutOrdersMoveAfterATakeover(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
-	b.core.InheritOrders([]string{"m-off"})
+	b.core.InheritOrders(schedule.Ordered{Moves: []string{"m-off"}})
 	b.upstream("u-1")
 	b.fence(platform.Lists{})
 	b.withTwoSpares()
@@ -67,7 +67,7 @@
 		b.at(50 * time.Millisecond)
 	}
 	round := b.core.Take()
-	is.Equal(len(round.Machines), 2)
+	is.Equal(len(round.Ordered.Moves), 2)
 	b.core.Stored(round.Number)
 	n := 0
 	for _, call := range b.core.Decide() {
@@ -87,7 +87,7 @@
 	b.fence(platform.Lists{})
 	b.withTwoSpares()
 	id := b.job(1, 48, 1000)
-	var stored []string
+	var stored schedule.Ordered
 	ordered := 0
 	for end := b.now + 10*time.Second; b.now < end; b.at(50 * time.Millisecond) {
 		for _, call := range b.core.Decide() {
@@ -99,12 +99,48 @@
 		}
 		if b.core.NeedsStoring() {
 			round := b.core.Take()
-			if round.Machines != nil {
-				stored = round.Machines
+			if round.Ordered != nil {
+				stored = *round.Ordered
 			}
 			b.core.Stored(round.Number)
 		}
 	}
 	is.Equal(ordered, 2)
-	is.Equal(len(stored), 0)
+	is.Equal(len(stored.Moves), 0)
+}
+
+// firstUpkeep returns the machine of the first upkeep that is ordered, and when.
+func (b *bench) firstUpkeep() (machine string, after time.Duration) {
+	begin := b.now
+	return b.order().upkeeps[0].Machine, b.now - begin
+}
+
+// inheritedWave is a wave of two machines, for one of which an earlier owner may have ordered the upkeep.
+func inheritedWave(t *testing.T, atOnce int) *bench {
+	b := newBench(t)
+	b.core.InheritOrders(schedule.Ordered{Upkeeps: []string{"m-u-1"}})
+	b.upstream("u-1")
+	b.upstream("u-2")
+	wave := testWave(atOnce, "m-u-1", "m-u-2")
+	wave[0].Within = 6 * time.Second
+	b.core.SetWaves(wave, nil)
+	b.fence(platform.Lists{})
+	b.machines("u-1", "u-2")
+	return b
+}
+
+// Guards against waves that stand still for 3 s after each change of owner, and are late.
+func TestWaveGoesOnAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	machine, after := inheritedWave(t, 2).firstUpkeep()
+	is.Equal(machine, "m-u-2")
+	is.True(after < time.Second)
+}
+
+// Guards against more machines down than the wave allows (LIMIT): an earlier owner's order may be carried out late.
+func TestOrdersOfAnEarlierOwnerCountAsDown(t *testing.T) {
+	is := is.New(t)
+	machine, after := inheritedWave(t, 1).firstUpkeep()
+	is.Equal(machine, "m-u-1") // this owner's order replaces the earlier one
+	is.True(after >= 3*time.Second)
 }
--- a/schedule/records.go
+++ b/schedule/records.go
@@ -13,10 +13,9 @@
 
 // Round is what is to be stored in one go. It is to be confirmed by Stored, in order.
 type Round struct {
-	Number uint64
-	Jobs   []Record
-	// Machines are those for which orders may have been given; nil: unchanged.
-	Machines []string
+	Number  uint64
+	Jobs    []Record
+	Ordered *Ordered // nil: unchanged
 }
 
 // touch marks a job's progress for storing.
@@ -28,7 +27,7 @@
 // Take returns a new round.
 func (c *Core) Take() Round {
 	c.round++
-	round := Round{Number: c.round, Machines: c.takeOrders()}
+	round := Round{Number: c.round, Ordered: c.takeOrders()}
 	for id, j := range c.dirty.all() {
 		round.Jobs = append(round.Jobs, Record{ID: id, Progress: j.snapshot()})
 		c.dirty.delete(id)
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -200,10 +200,9 @@
 	}
 }
 
-// upkeep moves the waves on. An earlier owner's order that is carried out late would take one machine more down than
-// the wave allows; it is over after the pause between holders.
+// upkeep moves the waves on.
 func (c *Core) upkeep() {
-	if c.machines == nil || c.now < c.holdersPause() {
+	if c.machines == nil || c.unknownOrders && c.now < c.holdersPause() {
 		return
 	}
 	for _, w := range c.waves.all() {
@@ -235,28 +234,33 @@
 // beginMachines prepares as many machines as the wave needs, those of the pools with the most room first.
 func (c *Core) beginMachines(w *wave) {
 	wanted := c.wanted(w)
-	active := w.count(machinePreparing) + w.count(machineOrdered) + w.count(machineDown)
+	active := w.count(machinePreparing) + c.down(w, nil)
 	if active >= wanted {
 		return
 	}
 	var waiting []*waveMachine
 	for _, m := range w.machines.all() {
-		if m.state == machineWaiting && c.now >= m.retryAt && c.moves.get(m.name) == nil && c.isReachable(m) {
+		if m.state == machineWaiting && c.now >= m.retryAt && c.mayOrder(m.name) && c.moves.get(m.name) == nil && c.isReachable(m) {
 			waiting = append(waiting, m)
 		}
 	}
 	cost := map[*waveMachine]float64{}
 	for _, m := range waiting {
 		cost[m] = c.emptyingCost(m)
+		if c.inheritedOrders[m.name] {
+			cost[m] = -1 // it counts as down until this owner has ordered it
+		}
 	}
 	slices.SortFunc(waiting, func(a, b *waveMachine) int {
 		return cmp.Or(cmp.Compare(cost[a], cost[b]), cmp.Compare(a.name, b.name))
 	})
 	for _, m := range waiting {
-		if active >= wanted {
-			return
+		if !c.inheritedOrders[m.name] {
+			if active >= wanted {
+				return
+			}
+			active++
 		}
-		active++
 		m.state, m.since = machinePreparing, c.now
 		if up := c.upstreamOf(m.name); up != nil {
 			up.cordoned = true
@@ -303,7 +307,7 @@
 				return
 			}
 		}
-		if w.count(machineOrdered)+w.count(machineDown) >= w.AtOnce || c.elsewhereDown(w) >= w.AtOnce {
+		if c.down(w, m) >= w.AtOnce {
 			return
 		}
 		m.old, m.oldBorn = "", 0
@@ -331,12 +335,16 @@
 	}
 }
 
-// elsewhereDown counts machines of the wave that the list shows in upkeep and that this owner has not ordered: an
-// earlier owner did.
-func (c *Core) elsewhereDown(w *wave) int {
-	n := w.count(machineOrdered) + w.count(machineDown)
+// down counts the machines of the wave, but for self, that are down for their upkeep or may be at any time: those that
+// this owner has ordered, those that the list shows in upkeep, and those that an earlier owner may have ordered, whose
+// order may be carried out late.
+func (c *Core) down(w *wave, self *waveMachine) int {
+	n := 0
 	for _, m := range w.machines.all() {
-		if m.state != machineOrdered && m.state != machineDown && c.machines[m.name].Phase == platform.MachineUpkeep {
+		switch {
+		case m == self || m.state == machineDone:
+		case m.state == machineOrdered, m.state == machineDown, c.inheritedOrders[m.name],
+			c.machines[m.name].Phase == platform.MachineUpkeep:
 			n++
 		}
 	}
