--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -231,42 +231,44 @@
 	return max(1, int((time.Duration(todo)*c.cycle()+left-1)/left))
 }
 
-// beginMachines prepares as many machines as the wave needs, those of the pools with the most room first.
+// beginMachines prepares the machines that an earlier owner may have ordered, which count as down until this owner has
+// ordered them, and as many others as the wave needs, those of the pools with the most room first.
 func (c *Core) beginMachines(w *wave) {
-	wanted := c.wanted(w)
-	active := w.count(machinePreparing) + c.down(w, nil)
-	if active >= wanted {
-		return
-	}
 	var waiting []*waveMachine
 	for _, m := range w.machines.all() {
-		if m.state == machineWaiting && c.now >= m.retryAt && c.mayOrder(m.name) && c.moves.get(m.name) == nil && c.isReachable(m) {
+		if m.state != machineWaiting || c.now < m.retryAt || !c.mayOrder(m.name) || c.moves.get(m.name) != nil || !c.isReachable(m) {
+			continue
+		}
+		if c.inheritedOrders[m.name] {
+			c.prepare(w, m)
+		} else {
 			waiting = append(waiting, m)
 		}
 	}
+	need := c.wanted(w) - w.count(machinePreparing) - c.down(w, nil)
+	if need <= 0 {
+		return
+	}
 	cost := map[*waveMachine]float64{}
 	for _, m := range waiting {
 		cost[m] = c.emptyingCost(m)
-		if c.inheritedOrders[m.name] {
-			cost[m] = -1 // it counts as down until this owner has ordered it
-		}
 	}
 	slices.SortFunc(waiting, func(a, b *waveMachine) int {
 		return cmp.Or(cmp.Compare(cost[a], cost[b]), cmp.Compare(a.name, b.name))
 	})
-	for _, m := range waiting {
-		if !c.inheritedOrders[m.name] {
-			if active >= wanted {
-				return
-			}
-			active++
-		}
-		m.state, m.since = machinePreparing, c.now
-		if up := c.upstreamOf(m.name); up != nil {
-			up.cordoned = true
-		}
-		c.Log("machine is emptied for its upkeep", "wave", w.Number, "machine", m.name, "active", active, "wanted", wanted)
+	for _, m := range waiting[:min(need, len(waiting))] {
+		c.prepare(w, m)
+	}
+}
+
+// prepare has a machine emptied for its upkeep.
+func (c *Core) prepare(w *wave, m *waveMachine) {
+	m.state, m.since = machinePreparing, c.now
+	if up := c.upstreamOf(m.name); up != nil {
+		up.cordoned = true
 	}
+	c.Log("machine is emptied for its upkeep", "wave", w.Number, "machine", m.name, "preparing", w.count(machinePreparing),
+		"down", c.down(w, nil), "at_once", w.AtOnce)
 }
 
 // isReachable reports whether a machine's upstream answers, or there is none.
