schedule: size pools by the labels and sizes that waiting tasks need

Pools now pull machines that have the label, or are large enough, for what waits; tasks without a label leave labelled upstreams to those that require them, and are placed after them.

--- a/schedule/backlog.go
+++ b/schedule/backlog.go
@@ -11,6 +11,7 @@
 	cap    int // their team has as much running as it may
 	room   int // no usable upstream has room
 	oldest time.Duration
+	part   *part // whose task is the oldest
 }
 
 // reportBacklog logs, once in backlogGap, why tasks of the pool wait, if one has waited for starvedAfter.
@@ -27,7 +28,7 @@
 			}
 		}
 	}
-	if b.oldest < starvedAfter {
+	if b.part == nil || b.oldest < starvedAfter {
 		return
 	}
 	unsettled := 0
@@ -37,11 +38,15 @@
 		}
 	}
 	c.Log("tasks wait", "pool", p.name, "for_room", b.room, "for_cap", b.cap, "may_run_unseen", b.unseen,
-		"oldest_ms", b.oldest.Milliseconds(), "usable", usable, "upstreams", p.upstreams.len(), "unsettled", unsettled)
+		"oldest_ms", b.oldest.Milliseconds(), "oldest_job", b.part.job.ID, "cpu", b.part.step.Request.MilliCPU,
+		"memory_mb", b.part.step.Request.MemoryMB, "label", b.part.step.Label, "rack", b.part.step.Rack,
+		"per_host", b.part.step.PerHost, "gang", b.part.step.Gang, "usable", usable, "upstreams", p.upstreams.len(), "unsettled", unsettled)
 }
 
 func (c *Core) countWaiting(b *backlog, p *part, t *task) {
-	b.oldest = max(b.oldest, c.now-max(p.releasedAt, t.requeuedAt, t.notBefore))
+	if waited := c.now - max(p.releasedAt, t.requeuedAt, t.notBefore); b.part == nil || waited > b.oldest {
+		b.oldest, b.part = waited, p
+	}
 	switch {
 	case c.mayRunUnseen(p, t):
 		b.unseen++
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -85,6 +85,8 @@
 	planned      []*run // whose upstreams are being recorded
 	superseded   bool   // an upstream has seen a higher token
 
+	wantedLabels []string // that waiting tasks of the pool being served require
+
 	chainEnds   []time.Duration // reused by chain
 	round       uint64          // number of the last round of records that was taken
 	durable     uint64          // number of the last round that is stored
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -45,7 +45,14 @@
 	if len(usable) == 0 {
 		return
 	}
-	for _, candidate := range c.candidates(p) {
+	candidates := c.candidates(p)
+	c.wantedLabels = c.wantedLabels[:0]
+	for _, candidate := range candidates {
+		if label := candidate.part.step.Label; label != "" && !slices.Contains(c.wantedLabels, label) {
+			c.wantedLabels = append(c.wantedLabels, label)
+		}
+	}
+	for _, candidate := range candidates {
 		part := candidate.part
 		if part.step.Gang {
 			c.placeGang(part, usable)
@@ -73,6 +80,7 @@
 		return cmp.Or(
 			cmp.Compare(a.priority, b.priority),
 			cmp.Compare(a.class, b.class),
+			cmp.Compare(a.bound(), b.bound()),
 			cmp.Compare(a.work, b.work),
 			cmp.Compare(a.part.arrival, b.part.arrival),
 			cmp.Compare(a.part.job.ID, b.part.job.ID),
@@ -82,6 +90,14 @@
 	return list
 }
 
+// bound returns 0 for a part that can run on some upstreams only, which go to such parts first, and 1 for others.
+func (c candidate) bound() int {
+	if c.part.step.Label != "" {
+		return 0
+	}
+	return 1
+}
+
 func (p *part) hasWaiting(now time.Duration) bool {
 	for i := range p.tasks {
 		if p.tasks[i].waits(now) {
@@ -360,6 +376,8 @@
 	rackBonus    = 2.0
 	badHostCost  = 1.0
 	fillNearCost = 0.5
+	// wantedCost keeps tasks that may run anywhere off upstreams with a label that waiting tasks require.
+	wantedCost = 2.0
 	// packBonus keeps long-running tasks together, so that the pool's other machines can move.
 	packBonus = 1.0
 )
@@ -385,6 +403,9 @@
 	if up.Cold > 0 {
 		score -= badHostCost
 	}
+	if p.step.Label == "" && slices.ContainsFunc(c.wantedLabels, func(l string) bool { return slices.Contains(up.Labels, l) }) {
+		score -= wantedCost
+	}
 	if p.step.LongRunning && up.longRunning() > 0 {
 		score += packBonus
 	}
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 )
 
@@ -79,7 +78,7 @@
 	p := c.pool(j.Queue.Pool)
 	work := 0.0
 	for _, part := range j.parts {
-		if p.couldHold(part.step) {
+		if part.step.Label == "" && c.couldHold(p, part.step) {
 			work += c.workOf(part) / 1000
 		}
 	}
@@ -117,11 +116,22 @@
 	})
 	for i := range demands {
 		for demands[i].have < demands[i].need {
-			if !c.pull(&demands[i], demands) {
+			if c.pull(&demands[i], demands, &lack{}) == 0 {
 				break
 			}
 		}
 	}
+	for i := range demands {
+		for _, l := range c.lacksOf(demands[i].pool) {
+			for l.cpu > 0 {
+				capacity := c.pull(&demands[i], demands, &l)
+				if capacity == 0 {
+					break
+				}
+				l.cpu -= capacity
+			}
+		}
+	}
 	for i := range demands {
 		c.park(&demands[i])
 	}
@@ -140,7 +150,7 @@
 	}
 	spared := min(int((d.have-d.need)/max(d.unit, 1)), d.machines-p.hostsWanted()) - parkReserve
 	for range min(spared, max(1, int(parkShare*float64(d.machines)))) {
-		up := c.idleUpstream(p)
+		up := c.idleUpstream(p, &lack{})
 		if up == nil {
 			return
 		}
@@ -185,9 +195,6 @@
 	d.have += int64(arriving) * d.unit
 	need := max(used+c.waitingCPU(p), used+p.offered(c.now)-p.timedCPU())
 	d.need = int64((1 + headroom) * float64(need))
-	if arriving == 0 && c.isStarved(p) {
-		d.need = max(d.need, d.have+1)
-	}
 	return d
 }
 
@@ -214,23 +221,6 @@
 	return up != nil && up.Pool == p.name
 }
 
-// isStarved reports whether a task has waited for some time that its team may start. Where the pool has processors to
-// spare, it lacks something else: memory, a label, or upstreams over which a step has to spread.
-func (c *Core) isStarved(p *pool) bool {
-	for part := range p.parts.all() {
-		if !part.job.team.allows(part.step.Request) || !p.couldHold(part.step) {
-			continue
-		}
-		for i := range part.tasks {
-			t := &part.tasks[i]
-			if t.waits(c.now) && !c.mayRunUnseen(part, t) && c.now > max(part.releasedAt, t.requeuedAt, t.notBefore)+starvedAfter {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // timedCPU returns the processors that timed tasks use on the pool's upstreams.
 func (p *pool) timedCPU() int64 {
 	var sum int64
@@ -248,7 +238,7 @@
 func (c *Core) waitingCPU(p *pool) int64 {
 	byTeam := map[*team]int64{}
 	for part := range p.parts.all() {
-		if !p.couldHold(part.step) {
+		if part.step.Label != "" || !c.couldHold(p, part.step) {
 			continue
 		}
 		for i := range part.tasks {
@@ -267,43 +257,33 @@
 	return sum
 }
 
-// couldHold reports whether a task of the step fits on an empty upstream of the pool. More machines do not help one that
-// does not.
-func (p *pool) couldHold(step *job.Step) bool {
-	for _, up := range p.upstreams.all() {
-		if step.Room().Fits(up.Capacity) && (step.Label == "" || slices.Contains(up.Labels, step.Label)) {
-			return true
-		}
-	}
-	return false
-}
-
-// pull orders one machine into a pool, from the spare pool or from the pool with the most room left. It returns false
-// if none can be spared.
-func (c *Core) pull(d *poolDemand, demands []poolDemand) bool {
-	if name := c.spareMachine(); name != "" {
+// pull orders one machine into a pool that helps with what the pool lacks, from the spare pool or from the pool with the
+// most room left. It returns the machine's processors in thousandths of a core, or 0 if none can be spared.
+func (c *Core) pull(d *poolDemand, demands []poolDemand, l *lack) int64 {
+	if name := c.spareMachine(l); name != "" {
 		c.move(name, nil, d)
-		return true
+		return max(c.machines[name].Capacity.MilliCPU, 1)
 	}
 	for i := len(demands) - 1; i >= 0; i-- {
 		donor := &demands[i]
 		if donor.pool == d.pool || donor.have-donor.need < (donorReserve+1)*donor.unit {
 			continue
 		}
-		if up := c.idleUpstream(donor.pool); up != nil {
+		if up := c.idleUpstream(donor.pool, l); up != nil {
 			donor.have -= up.Capacity.MilliCPU
 			c.move(up.Machine, up, d)
-			return true
+			return up.Capacity.MilliCPU
 		}
 	}
-	return false
+	return 0
 }
 
-// spareMachine returns a machine of the spare pool that can be moved, or an empty name.
-func (c *Core) spareMachine() string {
+// spareMachine returns a machine of the spare pool that can be moved and helps, or an empty name.
+func (c *Core) spareMachine(l *lack) string {
 	best := ""
 	for name, m := range c.machines {
-		if !c.spare[m.Pool] || m.Phase != platform.MachineUp || c.evacuated[m.Zone] || !c.isMovable(name) {
+		if !c.spare[m.Pool] || m.Phase != platform.MachineUp || c.evacuated[m.Zone] || !c.isMovable(name) ||
+			!l.fits(m.Labels, m.Capacity) {
 			continue
 		}
 		if best == "" || name < best {
@@ -326,11 +306,12 @@
 	return true
 }
 
-// idleUpstream returns an upstream of the pool on which nothing runs, or nil.
-func (c *Core) idleUpstream(p *pool) *upstream {
+// idleUpstream returns an upstream of the pool on which nothing runs and whose machine helps, or nil.
+func (c *Core) idleUpstream(p *pool, l *lack) *upstream {
 	var best *upstream
 	for _, up := range p.upstreams.all() {
-		if up.runs.len() > 0 || up.Machine == "" || !c.isUsable(up) || !c.isMovable(up.Machine) {
+		if up.runs.len() > 0 || up.Machine == "" || !c.isUsable(up) || !c.isMovable(up.Machine) ||
+			!l.fits(up.Labels, up.Capacity) {
 			continue
 		}
 		if best == nil || up.ID < best.ID {
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -102,7 +102,7 @@
 		c.upstreams.set(entry.ID, up)
 		c.pool(entry.Pool).upstreams.set(entry.ID, up)
 		c.rosterDirty = true
-		c.Log("upstream known", "upstream", entry.ID, "pool", entry.Pool, "zone", entry.Zone, "draining", entry.Draining)
+		c.Log("upstream known", "upstream", entry.ID, "machine", entry.Machine, "labels", entry.Labels, "cpu", entry.Capacity.MilliCPU, "pool", entry.Pool, "zone", entry.Zone, "draining", entry.Draining)
 	}
 	if up.Born != 0 && entry.Born != 0 && entry.Born > up.Born {
 		c.reborn(up, entry.Born)
