schedule: forget upstreams without an entry on which nothing runs

Cause: an upstream that lost its entry while nothing ran there was never looked at again and never removed. It is now forgotten, and the connections to its address are closed.

Test: TestConnectionsToForgottenUpstreamsAreClosed failed first.

--- a/owner/session.go
+++ b/owner/session.go
@@ -226,6 +226,8 @@
 	case schedule.Look:
 		lists, err := r.Upstreams.Look(ctx, call.Target, call.Order, lookTimeout)
 		return func(r *session) { r.core.Looked(call, lists, err) }
+	case schedule.Forget:
+		r.Upstreams.Forget(call.Address)
 	case schedule.Ask:
 		return r.askAdvice(ctx, call)
 	case schedule.Upkeep:
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -223,7 +223,7 @@
 	c.Log("evacuated zones", "zones", zones)
 }
 
-// Call is something that the caller is to do: a Start, Stop, Pace or Look.
+// Call is something that the caller is to do.
 type Call interface{ isCall() }
 
 // Start is a run to be started.
@@ -251,11 +251,16 @@
 	seq    uint64
 }
 
+// Forget is an address at which no upstream is expected any more.
+type Forget struct{ Address string }
+
 func (Start) isCall() {}
 func (Stop) isCall()  {}
 func (Pace) isCall()  {}
 func (Look) isCall()  {}
 
+func (Forget) isCall() {}
+
 // Decide returns the calls to make now. It is to be called after events, and when the time that Next names has come.
 func (c *Core) Decide() []Call {
 	c.dueOccurrences()
--- a/schedule/late_test.go
+++ b/schedule/late_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
 )
 
 // Guards against starting a task elsewhere while a first copy of its start may still be carried out: the first copy
@@ -77,3 +78,26 @@
 	slowClock := int64(clockMS + 0.98*float64(idle.Milliseconds()))
 	is.True(starts[0].Order.DeadlineMS <= slowClock+testLease.Milliseconds())
 }
+
+// Guards against connections to upstreams that are gone, which stay until they idle out: each move of a machine brings a
+// new address.
+func TestConnectionsToForgottenUpstreamsAreClosed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.core.UnlistUpstream("u-1")
+	var forgotten []schedule.Forget
+	for range 40 {
+		for _, call := range b.core.Decide() {
+			switch call := call.(type) {
+			case schedule.Look:
+				b.core.Looked(call, platform.Lists{}, platform.ErrUnanswered)
+			case schedule.Forget:
+				forgotten = append(forgotten, call)
+			}
+		}
+		b.at(100 * time.Millisecond)
+	}
+	is.Equal(forgotten, []schedule.Forget{{Address: "u-1:1"}})
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -214,6 +214,19 @@
 	c.pool(up.Pool).upstreams.delete(up.ID)
 	c.rosterDirty = true
 	c.Log("upstream forgotten", "upstream", up.ID)
+	if !c.isInUse(up.Address) {
+		c.calls = append(c.calls, Forget{Address: up.Address})
+	}
+}
+
+// isInUse reports whether a known upstream has the address.
+func (c *Core) isInUse(address string) bool {
+	for _, up := range c.upstreams.all() {
+		if up.Address == address {
+			return true
+		}
+	}
+	return false
 }
 
 // expireUpstreams settles what was on upstreams whose lease must have expired.
@@ -226,12 +239,18 @@
 		if up.failedLooks > 0 && up.fenced && up.runs.len() > 0 && c.now > up.leaseEnd() {
 			c.lose(up, "its lease has expired")
 		}
-		if !up.listed && up.settled && up.runs.len() == 0 && up.stored && (up.gone || up.failedLooks > 0) {
+		if !up.listed && up.settled && up.runs.len() == 0 && up.stored && (up.gone || up.failedLooks > 0 || up.isIdle()) {
 			c.remove(up)
 		}
 	}
 }
 
+// isIdle reports whether nothing runs on the upstream, no end is to be acknowledged and no look is under way. Nothing can
+// start there: this owner starts nothing, and earlier owners are fenced off.
+func (u *upstream) isIdle() bool {
+	return u.fenced && !u.looking && u.foreign == 0 && u.runs.len() == 0 && u.acked <= u.ackSent
+}
+
 // inheritedLease returns how long after the claim an earlier owner's runs may go on unseen.
 func (c *Core) inheritedLease() time.Duration {
 	return time.Duration(float64(c.Lease)/slowestClock) + ownerLookMargin
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -447,6 +447,9 @@
 		return
 	}
 	for _, call := range o.core.Decide() {
+		if _, ok := call.(schedule.Forget); ok {
+			continue // nothing of the world depends on connections
+		}
 		f := &flight{owner: o, call: call, at: w.now + w.delay("way", 30)}
 		if !w.healing {
 			switch rapid.IntRange(0, 29).Draw(w.t, "fate") {
