schedule: drop the order for a machine of a withdrawn wave

Cause: found by reading. An order that waits to be stored for longer than the pause between holders is taken off the stored machines when its wave is withdrawn, and sending it read an entry that was gone: the process would end. Test: TestOrderOfAWithdrawnWaveIsDropped, which panicked first.

--- a/schedule/orders.go
+++ b/schedule/orders.go
@@ -68,13 +68,15 @@
 func (c *Core) sendHeld() {
 	waiting := c.held[:0]
 	for _, h := range c.held {
-		o := c.orders.get(h.machine)
-		if o.round > c.durable {
+		switch o := c.orders.get(h.machine); {
+		case o == nil: // its wave was withdrawn while it waited
+			c.Log("order for a machine dropped", "machine", h.machine)
+		case o.round > c.durable:
 			waiting = append(waiting, h)
-			continue
+		default:
+			o.last = c.now
+			c.calls = append(c.calls, h.call)
 		}
-		o.last = c.now
-		c.calls = append(c.calls, h.call)
 	}
 	c.held = waiting
 }
--- a/schedule/orders_test.go
+++ b/schedule/orders_test.go
@@ -144,3 +144,27 @@
 	is.Equal(machine, "m-u-1") // this owner's order replaces the earlier one
 	is.True(after >= 3*time.Second)
 }
+
+// Guards against a panic when a wave is withdrawn while the order for one of its machines waits for a slow store.
+func TestOrderOfAWithdrawnWaveIsDropped(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.core.SetWaves(testWave(1, "m-u-1"), nil)
+	b.fence(platform.Lists{})
+	b.machines("u-1")
+	for range 20 { // the order is given, and waits to be stored
+		b.core.Decide()
+		b.at(50 * time.Millisecond)
+	}
+	is.True(b.core.StartsWait())
+	b.core.SetWaves(nil, nil)
+	b.at(10 * time.Second)
+	b.core.Stored(b.core.Take().Number)
+	for _, call := range b.core.Decide() {
+		if _, ok := call.(schedule.Upkeep); ok {
+			t.Fatal("ordered for a wave that was withdrawn")
+		}
+	}
+	is.True(!b.core.StartsWait())
+}
