--- a/cmd/citrongauge/soak_test.go
+++ b/cmd/citrongauge/soak_test.go
@@ -31,8 +31,8 @@
 )
 
 // TestSoak runs the daemon as separate processes against the stand-ins of the platform, while processes are killed,
-// stopped and continued by signals, the store is down, slow, loses answers and forgets its history, and upstreams go
-// dark, lose answers and fail. It checks that what was accepted is done, once, and was asked for. SOAK_SEEDS sets the
+// stopped and continued by signals, the store is down, slow, loses answers and forgets its history, upstreams go dark,
+// lose answers and fail, and connections to both are delayed, reset, held back one way or both. Faults overlap. It checks that what was accepted is done, once, and was asked for. SOAK_SEEDS sets the
 // number of seeds, SOAK_FROM the first one.
 func TestSoak(t *testing.T) {
 	for seed := range environment("SOAK_SEEDS", defaultSeeds) {
@@ -70,10 +70,11 @@
 	settings string
 	logs     string
 	process  *exec.Cmd
+	store    *platformfleet.Link // to the store
 }
 
 func soak(t *testing.T, seed uint64) {
-	f, err := platformfleet.New(platformfleet.Options{Zones: 3, UpstreamsPerZone: 2, Duration: 250 * time.Millisecond, Key: soakKey})
+	f, err := platformfleet.New(platformfleet.Options{Zones: 3, UpstreamsPerZone: 2, Duration: 250 * time.Millisecond, Key: soakKey, Linked: true})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,7 +132,13 @@
 		logs: filepath.Join(directory, fmt.Sprintf("host%d.log", i)),
 	}
 	name := fmt.Sprintf("edge-%d", i+1)
+	link, err := platformfleet.NewLink(s.fleet.StoreAddress())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	h.store = link
 	content := s.fleet.Settings(name, platformfleet.ZoneName(i), h.address, soakAddress(s.t), port)
+	content = strings.Replace(content, s.fleet.StoreAddress(), link.Address(), 1)
 	if err := os.WriteFile(h.settings, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -157,6 +164,7 @@
 		_ = h.process.Process.Signal(syscall.SIGCONT)
 		_ = h.process.Process.Kill()
 		_ = h.process.Wait()
+		h.store.Close()
 	}
 }
 
@@ -257,9 +265,10 @@
 
 func (s *soakRun) fault() {
 	h := s.hosts[s.random.IntN(len(s.hosts))]
-	u := s.fleet.Upstreams[s.random.IntN(len(s.fleet.Upstreams))]
+	n := s.random.IntN(len(s.fleet.Upstreams))
+	u := s.fleet.Upstreams[n]
 	span := time.Duration(200+s.random.IntN(2500)) * time.Millisecond
-	kind := s.random.IntN(9)
+	kind := s.random.IntN(13)
 	s.t.Logf("fault %d for %v on %s or %s", kind, span, filepath.Base(h.settings), u.ID)
 	switch kind {
 	case 0:
@@ -288,10 +297,36 @@
 		u.SetFaults(platformfleet.UpstreamFaults{Dark: true})
 	case 8:
 		u.SetFaults(platformfleet.UpstreamFaults{LoseNth: 2, FailAll: s.random.IntN(2) == 0})
+	case 9, 10:
+		disturb(h.store, s.linkFault(), span)
+	case 11, 12:
+		disturb(s.fleet.Links[n], s.linkFault(), span)
+	}
+}
+
+// linkFault draws a fault of a connection.
+func (s *soakRun) linkFault() platformfleet.LinkFault {
+	faults := []platformfleet.LinkFault{
+		{Reset: true}, {HoldUp: true}, {HoldDown: true}, {HoldUp: true, HoldDown: true}, {Delay: 250 * time.Millisecond},
 	}
+	fault := faults[s.random.IntN(len(faults))]
+	s.t.Logf("link fault %+v", fault)
+	return fault
+}
+
+// disturb sets a fault that ends after span, while other faults go on.
+func disturb(link *platformfleet.Link, fault platformfleet.LinkFault, span time.Duration) {
+	link.SetFault(fault)
+	time.AfterFunc(span, func() { link.SetFault(platformfleet.LinkFault{}) })
 }
 
 func (s *soakRun) heal() {
+	for _, link := range s.fleet.Links {
+		link.SetFault(platformfleet.LinkFault{})
+	}
+	for _, h := range s.hosts {
+		h.store.SetFault(platformfleet.LinkFault{})
+	}
 	s.fleet.Store.SetFaults(platformfleet.StoreFaults{})
 	for _, u := range s.fleet.Upstreams {
 		u.SetFaults(platformfleet.UpstreamFaults{})
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -15,6 +15,8 @@
 type Fleet struct {
 	Store     *Store
 	Upstreams []*Upstream
+	// Links lead to the upstreams, one each, if Options.Linked is set.
+	Links []*Link
 
 	storeAddress string
 	servers      []*http.Server
@@ -29,6 +31,7 @@
 	Duration         time.Duration // of each task
 	Key              string        // of the one team
 	Store            string        // address to listen on; empty: any port
+	Linked           bool          // upstreams are reached through links
 }
 
 // Names of what a fleet's configuration holds.
@@ -51,7 +54,7 @@
 	f.Store.Put("op/config", configuration(1, options.Key))
 	for z := range options.Zones {
 		for i := range options.UpstreamsPerZone {
-			if err := f.addUpstream(fmt.Sprintf("i-%d-%d", z+1, i+1), ZoneName(z), options.Duration); err != nil {
+			if err := f.addUpstream(fmt.Sprintf("i-%d-%d", z+1, i+1), ZoneName(z), options); err != nil {
 				f.Close()
 				return nil, err
 			}
@@ -68,12 +71,20 @@
 // StoreAddress returns the address of the store.
 func (f *Fleet) StoreAddress() string { return f.storeAddress }
 
-func (f *Fleet) addUpstream(id, zone string, duration time.Duration) error {
-	u := NewUpstream(id, Pool, zone, "", duration)
+func (f *Fleet) addUpstream(id, zone string, options Options) error {
+	u := NewUpstream(id, Pool, zone, "", options.Duration)
 	address, err := f.serve("", u)
 	if err != nil {
 		return err
 	}
+	if options.Linked {
+		link, err := NewLink(address)
+		if err != nil {
+			return err
+		}
+		f.Links = append(f.Links, link)
+		address = link.Address()
+	}
 	u.Address = address
 	f.Upstreams = append(f.Upstreams, u)
 	f.Store.Put("servers/"+id, u.Entry())
@@ -117,6 +128,9 @@
 // Close ends all servers.
 func (f *Fleet) Close() {
 	close(f.done)
+	for _, link := range f.Links {
+		link.Close()
+	}
 	for _, server := range f.servers {
 		_ = server.Close() // listeners are closed in any case
 	}
