cgctl job explain: what a job waits for, from a running daemon

Any host answers on its internal address, or sends the caller on to the owner. The reasons are those of the 'tasks wait' line, which now takes them from the same function.

--- a/cmd/cgctl/job.go
+++ b/cmd/cgctl/job.go
@@ -5,11 +5,13 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,6 +35,13 @@
 			},
 			{Name: "show", Usage: "show a job's phase", ArgsUsage: "ID", Flags: jobFlags(), Action: jobAction(http.MethodGet)},
 			{Name: "cancel", Usage: "cancel a job", ArgsUsage: "ID", Flags: jobFlags(), Action: jobAction(http.MethodDelete)},
+			{
+				Name: "explain", Usage: "show how far a job is and what it waits for", ArgsUsage: "ID",
+				Flags: []cli.Flag{&cli.StringFlag{
+					Name: "internal", Required: true, Usage: "internal `ADDRESS` of any entry host, IP:port", Sources: cli.EnvVars("CITRONGAUGE_INTERNAL"),
+				}},
+				Action: explainJob,
+			},
 			{Name: "pending", Usage: "show how many jobs of the queue have not begun", Flags: jobFlags(), Action: showPending},
 		},
 	}
@@ -96,6 +105,30 @@
 	return err
 }
 
+// explainJob asks a host, which sends the question on to the owner of the fleet.
+func explainJob(ctx context.Context, command *cli.Command) error {
+	if command.Args().Len() != 1 {
+		return usageError{"one job ID is needed"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	url := "http://" + command.String("internal") + "/explain/" + command.Args().First()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := doJob(request)
+	if err != nil {
+		return err
+	}
+	var pretty bytes.Buffer
+	if err := json.Indent(&pretty, []byte(answer), "", "  "); err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	_, err = fmt.Fprintln(command.Root().Writer, strings.TrimSpace(pretty.String()))
+	return err
+}
+
 // callJob returns the body of a successful answer.
 func callJob(ctx context.Context, command *cli.Command, method, id string, body []byte) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
@@ -110,6 +143,11 @@
 	if key := command.String("key"); key != "" {
 		request.Header.Set("Authorization", "Token "+key)
 	}
+	return doJob(request)
+}
+
+// doJob returns the body of a successful answer.
+func doJob(request *http.Request) (string, error) {
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return "", err
--- a/cmd/cgctl/job_test.go
+++ b/cmd/cgctl/job_test.go
@@ -58,3 +58,26 @@
 		`GET q.example /q/gone Token k `,
 	})
 }
+
+// Guards against an explanation that is not shown, and against a refusal that looks like one.
+func TestJobExplain(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/explain/00000000000000aa" {
+			w.WriteHeader(http.StatusGone)
+		}
+		_, _ = io.WriteString(w, `{"job":"00000000000000aa"}`)
+	}))
+	defer server.Close()
+	run := func(id string) (string, error) {
+		var out bytes.Buffer
+		err := rootCommand(&out, io.Discard).Run(t.Context(),
+			[]string{"cgctl", "job", "explain", "--internal", server.Listener.Addr().String(), id})
+		return out.String(), err
+	}
+	out, err := run("00000000000000aa")
+	is.NoErr(err)
+	is.Equal(out, "{\n  \"job\": \"00000000000000aa\"\n}\n")
+	_, err = run("00000000000000bb")
+	is.True(err != nil)
+}
--- /dev/null
+++ b/entry/explain.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/owner"
+)
+
+const (
+	// explainPath, on the internal address, is followed by a job's ID.
+	explainPath    = "/explain/"
+	explainTimeout = time.Second
+)
+
+// explain says how far a job is and what it waits for. A host that does not own the fleet sends the caller to the owner.
+func (h *Host) explain(w http.ResponseWriter, request *http.Request) {
+	id, err := job.ParseID(mux.Vars(request)["job"])
+	if err != nil {
+		h.refuse(w, badID)
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), explainTimeout)
+	defer cancel()
+	explanation, ok, err := h.owner.Explain(ctx, id)
+	address := h.owner.OwnerAddress()
+	switch {
+	case errors.Is(err, owner.ErrNotOwner) && address != "" && address != h.internal:
+		http.Redirect(w, request, "http://"+address+explainPath+string(id), http.StatusTemporaryRedirect)
+		return
+	case err != nil:
+		h.refuse(w, noOwner)
+		return
+	case !ok:
+		h.refuse(w, noJob)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(explanation); err != nil {
+		h.event("answer not delivered", "path", request.URL.Path, "error", err.Error())
+	}
+}
+
+func (h *Host) refuse(w http.ResponseWriter, o outcome) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(o.status)
+	if _, err := w.Write(o.body()); err != nil {
+		h.event("answer not delivered", "code", o.code, "error", err.Error())
+	}
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -42,6 +42,7 @@
 // Host is an entry host.
 type Host struct {
 	settings platform.Settings // as read at the start
+	internal string            // address for metrics and other hosts
 	log      *eventlog.Log
 	metrics  *metrics
 	operator *operator.Follower
@@ -56,13 +57,13 @@
 	log := eventlog.New(logs)
 	h := &Host{settings: settings, log: log, metrics: newMetrics(log.Dropped)}
 	process := processID()
-	internal := net.JoinHostPort(settings.Listen.IP, strconv.Itoa(settings.Listen.Internal))
+	h.internal = net.JoinHostPort(settings.Listen.IP, strconv.Itoa(settings.Listen.Internal))
 	event := h.event
 	kv := platform.NewKV(settings.Store.Address, h.metrics.platformCall)
 	records := ledger.New(kv)
 	h.operator = operator.New(kv, event)
 	options := owner.Options{
-		Host: settings.Host, Process: process, Address: internal, Settings: settings, KV: kv, Ledger: records, Operator: h.operator,
+		Host: settings.Host, Process: process, Address: h.internal, Settings: settings, KV: kv, Ledger: records, Operator: h.operator,
 		Upstreams: platform.NewUpstreams(), Observe: h.metrics, Log: event,
 		Ask: func(message announce.Message) { h.sender.Send(message) },
 	}
@@ -159,6 +160,7 @@
 	readiness.HandleFunc(platform.ReadinessPath, h.ready)
 	internal := mux.NewRouter()
 	internal.Handle("/metrics", promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
+	internal.HandleFunc(explainPath+"{job}", h.explain)
 	internal.Handle(announce.Path, announce.Handler(h.owner.Announced, h.event))
 	listeners := []struct {
 		address string
@@ -166,7 +168,7 @@
 	}{
 		{h.settings.Listen.Callers, h.server},
 		{h.settings.Listen.Readiness, readiness},
-		{net.JoinHostPort(h.settings.Listen.IP, strconv.Itoa(h.settings.Listen.Internal)), internal},
+		{h.internal, internal},
 	}
 	var servers []*http.Server
 	for _, l := range listeners {
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -28,6 +28,7 @@
 	bundleChanging = outcome{2307, http.StatusServiceUnavailable, "the configuration keeps changing; not run"}
 	noJob          = outcome{2308, http.StatusGone, "no such job"}
 	storeFailed    = outcome{2309, http.StatusServiceUnavailable, "the store does not answer"}
+	noOwner        = outcome{2310, http.StatusServiceUnavailable, "no host owns the fleet"}
 
 	jobUncertain = outcome{3301, http.StatusGatewayTimeout, "the store did not answer; the job may exist"}
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"citrongauge.example/citrongauge/announce"
+	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/ledger"
 	"citrongauge.example/citrongauge/operator"
 	"citrongauge.example/citrongauge/platform"
@@ -99,6 +100,32 @@
 	return true
 }
 
+// ErrNotOwner is returned for a question that only the owner can answer.
+var ErrNotOwner = errors.New("this host does not own the fleet")
+
+// Explain describes a job. ok is false if the job is not known or has ended.
+func (o *Owner) Explain(ctx context.Context, id job.ID) (explanation schedule.Explanation, ok bool, err error) {
+	r := o.present.Load()
+	if r == nil {
+		return schedule.Explanation{}, false, ErrNotOwner
+	}
+	type answer struct {
+		explanation schedule.Explanation
+		ok          bool
+	}
+	answers := make(chan answer, 1)
+	r.post(ctx, func(r *session) {
+		explanation, ok := r.core.Explain(id)
+		answers <- answer{explanation, ok}
+	})
+	select {
+	case a := <-answers:
+		return a.explanation, a.ok, nil
+	case <-ctx.Done():
+		return schedule.Explanation{}, false, ctx.Err()
+	}
+}
+
 // Run competes until ctx ends. An ownership that is held then is given back.
 func (o *Owner) Run(ctx context.Context) {
 	failing := false
--- a/schedule/backlog.go
+++ b/schedule/backlog.go
@@ -47,10 +47,10 @@
 	if waited := c.now - max(p.releasedAt, t.requeuedAt, t.notBefore); b.part == nil || waited > b.oldest {
 		b.oldest, b.part = waited, p
 	}
-	switch {
-	case c.mayRunUnseen(p, t):
+	switch c.waitsFor(p, t) {
+	case waitsForLease:
 		b.unseen++
-	case !p.job.team.allows(p.step.Request):
+	case waitsForCap:
 		b.cap++
 	default:
 		b.room++
--- a/schedule/records.go
+++ b/schedule/records.go
@@ -114,15 +114,20 @@
 	return true
 }
 
+// shownPhase returns the phase that clients see.
+func (j *jobState) shownPhase() job.Phase {
+	if j.begun && !j.phase.Terminal() {
+		return job.Active
+	}
+	return j.phase
+}
+
 // snapshot returns the progress to be stored.
 func (j *jobState) snapshot() job.Progress {
-	progress := job.Progress{Phase: j.phase, EndedMS: j.endedMS}
+	progress := job.Progress{Phase: j.shownPhase(), EndedMS: j.endedMS}
 	if j.phase.Terminal() && j.isQuiet() {
 		return progress
 	}
-	if j.begun && !j.phase.Terminal() {
-		progress.Phase = job.Active
-	}
 	for _, p := range j.parts {
 		if recorded := p.snapshot(); recorded.Done != nil || recorded.Failures != nil || recorded.Placed != nil {
 			progress.Parts = append(progress.Parts, recorded)
--- a/testbed/fleet/entry_test.go
+++ b/testbed/fleet/entry_test.go
@@ -27,7 +27,9 @@
 	t       *testing.T
 	fleet   *fleet.Fleet
 	address string
-	stop    func()
+	// internal is the address for metrics and operators.
+	internal string
+	stop     func()
 }
 
 func startFleet(t *testing.T) *fleet.Fleet {
@@ -63,7 +65,7 @@
 	ended := make(chan error, 1)
 	host := entry.New(settings, io.Discard)
 	go func() { ended <- host.Run(ctx) }()
-	h := &oneHost{t: t, fleet: f, address: address(callers)}
+	h := &oneHost{t: t, fleet: f, address: address(callers), internal: address(internal)}
 	h.stop = func() {
 		cancel()
 		if err := <-ended; err != nil {
--- a/testbed/fleet/owner_test.go
+++ b/testbed/fleet/owner_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"encoding/json"
+	"net/http"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"citrongauge.example/citrongauge/ledger"
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
 	"citrongauge.example/citrongauge/testbed/fleet"
 )
 
@@ -67,3 +70,49 @@
 	first.stop()
 	waitOwner(t, f, "edge-second", 2*time.Second)
 }
+
+// explain asks a host what a job waits for.
+func (h *oneHost) explain(id string) (int, schedule.Explanation) {
+	h.t.Helper()
+	response, err := http.Get("http://" + h.internal + "/explain/" + id)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var e schedule.Explanation
+	if err := json.NewDecoder(response.Body).Decode(&e); err != nil {
+		h.t.Fatal(err)
+	}
+	return response.StatusCode, e
+}
+
+// Guards against an operator who has to know which host owns the fleet to learn what a job waits for.
+func TestAnyHostExplainsAJob(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	defer f.Close()
+	owner := addHost(t, f, "edge-1", largeHost)
+	defer owner.stop()
+	other := addHost(t, f, "edge-2", largeHost)
+	defer other.stop()
+	huge := `{"spec":"s","steps":[{"count":2,"cpu":99000,"mem_mb":10}]}` // no upstream has room
+	status, _ := other.call(http.MethodPost, jobID(1), huge, teamKey)
+	is.Equal(status, http.StatusOK)
+	for _, h := range []*oneHost{owner, other} {
+		var e schedule.Explanation
+		for range 100 {
+			if status, e = h.explain(jobID(1)); status == http.StatusOK {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.Equal(status, http.StatusOK)
+		is.Equal(e.Phase, "queued")
+		is.Equal(len(e.Parts), 1)
+		is.Equal(e.Parts[0].Waiting, map[string]int{"room on an upstream": 2})
+	}
+	status, _ = other.explain(jobID(2))
+	is.Equal(status, http.StatusGone)
+	status, _ = other.explain("no-id")
+	is.Equal(status, http.StatusBadRequest)
+}
