owner: hosts that lose the race for the ownership learn who won it

Cause: found by trying 'cgctl job explain' on scripts/up-fleet: two of three hosts said that no host owns the fleet. The owner's address was noted only when a claim began and found it owned; hosts that lost the race of the first claim waited on the owner's key without noting it, so that they announced no jobs until the next change of owner, and the owner learned of them by its watch.

Test: TestHostsThatStartTogetherKnowTheOwner failed first.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -165,6 +165,7 @@
 	if err != nil {
 		o.Log("unreadable record of the owner", "revision", item.Revision, "error", err.Error())
 	}
+	o.known.Store(&record.Address)
 	after := item.Revision
 	for item.Revision != 0 && ctx.Err() == nil {
 		events, asOf, err := o.KV.Watch(ctx, ledger.OwnerKey, after, candidateWait)
--- a/testbed/fleet/entry_test.go
+++ b/testbed/fleet/entry_test.go
@@ -53,6 +53,13 @@
 
 // addHost starts an entry host whose settings are changed by change, and waits until it serves.
 func addHost(t *testing.T, f *fleet.Fleet, name string, change func(*platform.Settings)) *oneHost {
+	h := launchHost(t, f, name, change)
+	h.waitServing()
+	return h
+}
+
+// launchHost starts an entry host.
+func launchHost(t *testing.T, f *fleet.Fleet, name string, change func(*platform.Settings)) *oneHost {
 	callers, readiness, internal := freePort(t), freePort(t), freePort(t)
 	text := f.Settings(name, fleet.ZoneName(0), address(callers), address(readiness), internal)
 	settings, err := platform.ParseSettings(text)
@@ -72,14 +79,18 @@
 			t.Error(err)
 		}
 	}
+	return h
+}
+
+func (h *oneHost) waitServing() {
+	h.t.Helper()
 	for range 200 {
 		if status, _ := h.call(http.MethodGet, "", "", teamKey); status == http.StatusOK {
-			return h
+			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	t.Fatal("not ready")
-	return nil
+	h.t.Fatal("not ready")
 }
 
 func freePort(t *testing.T) int {
--- a/testbed/fleet/owner_test.go
+++ b/testbed/fleet/owner_test.go
@@ -116,3 +116,30 @@
 	status, _ = other.explain("no-id")
 	is.Equal(status, http.StatusBadRequest)
 }
+
+// Guards against hosts that start together and do not learn which of them owns the fleet: those that lost the race sent
+// it no announcements, and the owner learned of their jobs only by its watch.
+func TestHostsThatStartTogetherKnowTheOwner(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	defer f.Close()
+	var hosts []*oneHost
+	for _, name := range []string{"edge-1", "edge-2", "edge-3"} {
+		h := launchHost(t, f, name, largeHost)
+		defer h.stop()
+		hosts = append(hosts, h)
+	}
+	for _, h := range hosts {
+		h.waitServing()
+	}
+	for _, h := range hosts {
+		status := 0
+		for range 50 {
+			if status, _ = h.explain(jobID(1)); status == http.StatusGone {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.Equal(status, http.StatusGone) // the owner says that there is no such job
+	}
+}
