schedule: an adopted run counts as at work only once a stop of it would have ended

The earlier owner was emptying machines of a wave; runs that it had just stopped are listed as running for up to stop_timeout_ms (900 ms there), and the new owner took them for being at work. Since waves go on at once after a change of owner, it can order at that time; draining upstreams could lead to the same before. Test: TestAdoptedRunsMayBeStopping failed first.

--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -19,7 +19,7 @@
 
 var testBounds = platform.Bounds{
 	MaxLease: 10 * time.Second, Retention: 120 * time.Second,
-	Upkeep: 2 * time.Second, Holder: 3 * time.Second,
+	Upkeep: 2 * time.Second, Holder: 3 * time.Second, Stop: 900 * time.Millisecond,
 }
 
 // bench drives a core by hand: time, answers and lost answers are the test's choice.
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -398,17 +398,22 @@
 	}
 	away := 0
 	for i := range r.part.tasks {
-		if i != r.index && !r.part.tasks[i].atWork() {
+		if i != r.index && !c.atWork(&r.part.tasks[i]) {
 			away++
 		}
 	}
 	return away < r.part.step.MayMiss
 }
 
-// atWork reports whether a run of a long-running task has passed its start-up.
-func (t *task) atWork() bool {
+// stopSlack is added to the longest duration of a stop.
+const stopSlack = 100 * time.Millisecond
+
+// atWork reports whether a run of a long-running task has passed its start-up and is not being stopped. An earlier owner
+// may have stopped a run that was adopted a moment ago; it is listed until it has ended.
+func (c *Core) atWork(t *task) bool {
 	for _, r := range t.runs {
-		if r.state == runRunning && r.progress >= fullPace && r.up.failedLooks == 0 {
+		mayEnd := r.adopted && c.now < r.started+c.Bounds.Stop+stopSlack
+		if r.state == runRunning && r.progress >= fullPace && r.up.failedLooks == 0 && !mayEnd {
 			return true
 		}
 	}
--- a/schedule/upkeep_test.go
+++ b/schedule/upkeep_test.go
@@ -193,3 +193,38 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Order.Task.Job, job.ID("0000000000000001"))
 }
+
+// Guards against a new owner that takes runs for being at work which the earlier owner has just stopped, and takes one
+// more of their step away (AVAIL on a drawn day of kainlena-sched-grown, fresh-6631, 0.2 s after a change of owner).
+func TestAdoptedRunsMayBeStopping(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	id := job.ID("0000000000000001")
+	b.core.AddJob(&job.Job{
+		ID: id, Team: testTeam, Queue: testJobQueue(), Spec: "s", AcceptedMS: b.now.Milliseconds(),
+		Steps: []job.Step{{
+			Count: 3, Request: job.Resources{MilliCPU: 6000}, LongRunning: true, PerHost: 1, MayMiss: 1, Estimate: time.Second,
+		}},
+	}, 1, true, nil, false)
+	running := map[string][]platform.Running{}
+	for i, name := range []string{"u-1", "u-2", "u-3"} {
+		b.upstream(name)
+		running[name] = []platform.Running{{Task: job.TaskID{Job: id, Index: i}, Attempt: 1, Percent: 100}}
+	}
+	b.core.SetUpstream(platform.Upstream{
+		ID: "u-1", Pool: testPool, Address: "u-1:1", Zone: "a", Born: 1, Machine: "m-u-1", Draining: true,
+		Capacity: job.Resources{MilliCPU: 16000, MemoryMB: 64000},
+	})
+	begin := b.now
+	for range 40 {
+		next := b.decide()
+		if len(next.stops) > 0 {
+			is.Equal(next.stops[0].Target.ID, "u-1")
+			is.True(b.now-begin >= 900*time.Millisecond)
+			return
+		}
+		b.answerAll(next, running)
+		b.at(50 * time.Millisecond)
+	}
+	t.Fatal("the task on the draining upstream was never moved")
+}
