cmd: a request refused by a host that has left the rotation goes to another one in the test

A client of the test picked a host, the test took that host off the rotation and sent SIGTERM, and only then the request arrived: the refusal is true and names another try, which callers make. The code is now accepted from a host that is no longer in the rotation, and only with another try; from a host in the rotation it still fails the test, as does any cut.

--- a/cmd/citrongauge/process_test.go
+++ b/cmd/citrongauge/process_test.go
@@ -139,7 +139,11 @@
 					return
 				default:
 				}
-				a, err := f.post(balancer.next(), f.teamKeys["blue"], "work", api.Submission{RunMS: 100, DeadlineMS: 20000}, "")
+				h := balancer.next()
+				a, err := f.post(h, f.teamKeys["blue"], "work", api.Submission{RunMS: 100, DeadlineMS: 20000}, "")
+				if err == nil && a.Code == result.ShuttingDown && !balancer.has(h) {
+					continue // picked before the host left the rotation, and refused as not run: a caller goes on to another host
+				}
 				mu.Lock()
 				if err != nil {
 					t.Errorf("request cut off: %v", err)
@@ -187,6 +191,12 @@
 	return b.hosts[b.turn%len(b.hosts)]
 }
 
+func (b *balancer) has(h *entryHost) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Contains(b.hosts, h)
+}
+
 func (b *balancer) add(h *entryHost) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
