--- a/cmd/citrongauge/process_test.go
+++ b/cmd/citrongauge/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
