--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -24,6 +24,7 @@
 
 	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/steady"
 )
 
 // Keys and prefixes in the store.
@@ -95,10 +96,10 @@
 // retry repeats a call that got no answer, until ctx ends. The call must be safe to repeat. Once one try got no answer,
 // a refusal of a later one does not make the outcome certain.
 func (l *Ledger) retry(ctx context.Context, try func(timeout time.Duration) error) error {
-	timeout := firstTry
+	tries := newTries()
 	unanswered := false
 	for {
-		err := try(timeout)
+		err := try(tries.timeout)
 		uncertain := errors.Is(err, platform.ErrUnanswered)
 		refused := errors.Is(err, platform.ErrNotDone)
 		unanswered = unanswered || uncertain
@@ -108,15 +109,26 @@
 		if refused && !unanswered {
 			return err
 		}
-		timeout = min(2*timeout, maxTry)
-		select {
-		case <-ctx.Done():
+		if !tries.next(ctx) {
 			return errors.Wrap(platform.ErrUnanswered, "gave up")
-		case <-time.After(retryGap):
 		}
 	}
 }
 
+// tries are the tries of one call.
+type tries struct {
+	timeout time.Duration // of the present one
+}
+
+func newTries() *tries { return &tries{timeout: firstTry} }
+
+// next waits for the next try, which has more time. It returns false when ctx has ended.
+func (t *tries) next(ctx context.Context) bool {
+	t.timeout = min(2*t.timeout, maxTry)
+	steady.Sleep(ctx, retryGap)
+	return ctx.Err() == nil
+}
+
 // View is what is stored of a job.
 type View struct {
 	Created   uint64 // revision
@@ -169,17 +181,11 @@
 
 // retryRead repeats a read that failed, until ctx ends.
 func (l *Ledger) retryRead(ctx context.Context, try func(timeout time.Duration) error) error {
-	timeout := firstTry
+	tries := newTries()
 	for {
-		err := try(timeout)
-		if err == nil || !errors.Is(err, platform.ErrUnanswered) {
-			return err
-		}
-		timeout = min(2*timeout, maxTry)
-		select {
-		case <-ctx.Done():
+		err := try(tries.timeout)
+		if err == nil || !errors.Is(err, platform.ErrUnanswered) || !tries.next(ctx) {
 			return err
-		case <-time.After(retryGap):
 		}
 	}
 }
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -151,9 +151,9 @@
 	if err != nil {
 		return err
 	}
-	timeout := firstTry
+	tries := newTries()
 	for {
-		revision, err := o.ledger.kv.Txn(ctx, txn, timeout)
+		revision, err := o.ledger.kv.Txn(ctx, txn, tries.timeout)
 		if err == nil {
 			o.chain = revision
 			o.number++
@@ -166,11 +166,8 @@
 		if !errors.Is(err, platform.ErrUnanswered) && !errors.Is(err, platform.ErrNotDone) {
 			return err
 		}
-		timeout = min(2*timeout, maxTry)
-		select {
-		case <-ctx.Done():
+		if !tries.next(ctx) {
 			return err
-		case <-time.After(retryGap):
 		}
 	}
 }
--- a/owner/load.go
+++ b/owner/load.go
@@ -30,18 +30,18 @@
 	if err := r.readOrdered(ctx); err != nil {
 		return err
 	}
-	upstreamsAt, err := r.readUpstreams(ctx)
+	upstreamsAt, err := r.read(ctx, platform.UpstreamPrefix, r.setUpstreams)
 	if err != nil {
 		return err
 	}
-	jobsAt, err := r.readJobs(ctx)
+	jobsAt, err := r.read(ctx, ledger.JobPrefix, r.addJobs)
 	if err != nil {
 		return err
 	}
 	r.present.Store(r)
 	r.Log("state loaded", "jobs", r.core.Jobs(), "roster", len(roster), "token", r.ownership.Token)
-	go r.watch(ctx, platform.UpstreamPrefix, upstreamsAt, r.upstreamEvents, r.readUpstreamsLater)
-	go r.watch(ctx, ledger.JobPrefix, jobsAt, r.jobEvents, r.readJobsLater)
+	go r.watch(ctx, platform.UpstreamPrefix, upstreamsAt, r.upstreamEvents, r.setUpstreams)
+	go r.watch(ctx, ledger.JobPrefix, jobsAt, r.jobEvents, r.addJobs)
 	return nil
 }
 
@@ -58,13 +58,13 @@
 	return err
 }
 
-func (r *session) readUpstreams(ctx context.Context) (uint64, error) {
-	items, asOf, err := r.KV.All(ctx, platform.UpstreamPrefix, readTimeout)
-	if err != nil {
-		return 0, err
+// read hands all items under a prefix to take. A watch from the returned revision on misses nothing.
+func (r *session) read(ctx context.Context, prefix string, take func([]platform.Item)) (asOf uint64, err error) {
+	items, asOf, err := r.KV.All(ctx, prefix, readTimeout)
+	if err == nil {
+		take(items)
 	}
-	r.setUpstreams(items)
-	return asOf, nil
+	return asOf, err
 }
 
 // setUpstreams replaces the entries of all upstreams.
@@ -91,14 +91,6 @@
 	r.core.SetUpstream(entry)
 }
 
-func (r *session) readUpstreamsLater(ctx context.Context) (uint64, error) {
-	items, asOf, err := r.KV.All(ctx, platform.UpstreamPrefix, readTimeout)
-	if err == nil {
-		r.post(ctx, func(r *session) { r.setUpstreams(items) })
-	}
-	return asOf, err
-}
-
 func (r *session) upstreamEvents(events []platform.Event) {
 	for _, event := range events {
 		if event.Deleted {
@@ -109,23 +101,6 @@
 	}
 }
 
-func (r *session) readJobs(ctx context.Context) (uint64, error) {
-	items, asOf, err := r.KV.All(ctx, ledger.JobPrefix, readTimeout)
-	if err != nil {
-		return 0, err
-	}
-	r.addJobs(items)
-	return asOf, nil
-}
-
-func (r *session) readJobsLater(ctx context.Context) (uint64, error) {
-	items, asOf, err := r.KV.All(ctx, ledger.JobPrefix, readTimeout)
-	if err == nil {
-		r.post(ctx, func(r *session) { r.addJobs(items) })
-	}
-	return asOf, err
-}
-
 // addJobs adds all jobs among the items, which hold each job's records next to each other.
 func (r *session) addJobs(items []platform.Item) {
 	found := map[job.ID]*ledger.Change{}
@@ -205,15 +180,17 @@
 	}
 }
 
-// watch follows a prefix until ctx ends. After a lost watch it goes on where it was; when the history is gone, it
-// reads everything anew.
-func (r *session) watch(ctx context.Context, prefix string, after uint64, handle func([]platform.Event), reread func(context.Context) (uint64, error)) {
+// watch follows a prefix until ctx ends and has the loop handle its events. After a lost watch it goes on where it was;
+// when the history is gone, it reads everything anew and has the loop take it.
+func (r *session) watch(ctx context.Context, prefix string, after uint64, handle func([]platform.Event), take func([]platform.Item)) {
 	failing := false
 	for ctx.Err() == nil {
 		events, asOf, err := r.KV.Watch(ctx, prefix, after, watchWait)
 		if errors.Is(err, platform.ErrCompacted) {
 			r.Log("history gone", "prefix", prefix, "after", after)
-			asOf, err = reread(ctx)
+			asOf, err = r.read(ctx, prefix, func(items []platform.Item) {
+				r.post(ctx, func(*session) { take(items) })
+			})
 			events = nil
 		}
 		if err != nil {
