schedule, owner: one check for tasks that may start, one pause for repeated orders

Found on reading the change again: 'waits and certainly has no run' stood in four loops, the pause after an order without an answer and the marking of an upstream as gone in two places each. A team's weight and the number of learned durations were kept and never read. The owner went over all upstreams twice for each decision, for its yield and for its metrics. Behaviour is unchanged.

--- a/owner/session.go
+++ b/owner/session.go
@@ -149,7 +149,8 @@
 		r.failure = errors.New("an upstream has seen a higher token")
 		return false
 	}
-	if r.isWeak() {
+	listed, answering := r.core.Upstreams()
+	if r.isWeak(listed, answering) {
 		r.failure = errYielded
 		return false
 	}
@@ -158,13 +159,12 @@
 	}
 	r.store(ctx)
 	r.listMachines(ctx)
-	r.count()
+	r.Observe.Counts(r.core.Stats(), r.core.Jobs(), listed)
 	return true
 }
 
 // isWeak reports whether most upstreams have not been reachable for some time, so that another host may do better.
-func (r *session) isWeak() bool {
-	listed, answering := r.core.Upstreams()
+func (r *session) isWeak(listed, answering int) bool {
 	now := steady.Now()
 	if listed == 0 || 2*answering >= listed || now < r.claimed+yieldGrace {
 		r.weakSince = 0
@@ -176,11 +176,6 @@
 	return now-r.weakSince > yieldAfter
 }
 
-func (r *session) count() {
-	listed, _ := r.core.Upstreams()
-	r.Observe.Counts(r.core.Stats(), r.core.Jobs(), listed)
-}
-
 // post hands an event to the loop, or drops it when the ownership is over.
 func (r *session) post(ctx context.Context, event func(*session)) {
 	select {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -120,9 +120,8 @@
 }
 
 type team struct {
-	cap    job.Resources
-	weight float64
-	used   job.Resources
+	cap  job.Resources
+	used job.Resources
 	// reserved is what may run unseen on upstreams that were not reached since the claim.
 	reserved job.Resources
 }
@@ -150,7 +149,7 @@
 // Stats returns the counts so far.
 func (c *Core) Stats() Stats { return c.stats }
 
-// Jobs returns the number of jobs that have not ended, and Upstreams the number of known upstreams.
+// Jobs returns the number of jobs that have not ended.
 func (c *Core) Jobs() int { return c.jobs.len() }
 
 // Upstreams returns the number of upstreams that have an entry in the store, and how many of them answer. Those without
@@ -180,7 +179,7 @@
 func (c *Core) team(name string) *team {
 	t := c.teams[name]
 	if t == nil {
-		t = &team{weight: 1}
+		t = &team{}
 		c.teams[name] = t
 	}
 	return t
@@ -195,8 +194,7 @@
 		c.advised = c.advised || queue.Advised
 	}
 	for _, t := range bundle.Teams {
-		team := c.team(t.Name)
-		team.cap, team.weight = t.Cap, t.Weight
+		c.team(t.Name).cap = t.Cap
 	}
 	c.spare = map[string]bool{}
 	for _, p := range bundle.Pools {
@@ -261,7 +259,7 @@
 
 func (Forget) isCall() {}
 
-// Decide returns the calls to make now. It is to be called after events, and when the time that Next names has come.
+// Decide returns the calls to make now. It is to be called after events, and regularly, as times come.
 func (c *Core) Decide() []Call {
 	c.dueOccurrences()
 	c.expireUpstreams()
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -57,7 +57,6 @@
 // speed is what was learned about the durations of a queue's tasks.
 type speed struct {
 	ratio float64 // of measured to estimated duration
-	count int
 }
 
 const (
@@ -317,7 +316,6 @@
 		s = &speed{ratio: 1}
 		c.speeds[r.part.job.Queue.Name] = s
 	}
-	s.count++
 	s.ratio += speedWeight * (min(measured, 4) - s.ratio)
 }
 
--- a/schedule/lacks.go
+++ b/schedule/lacks.go
@@ -54,7 +54,7 @@
 func (c *Core) waitingOf(p *part) (waiting int, starved bool) {
 	for i := range p.tasks {
 		t := &p.tasks[i]
-		if !t.waits(c.now) || c.mayRunUnseen(p, t) {
+		if !c.mayStart(p, t) {
 			continue
 		}
 		waiting++
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -180,6 +180,9 @@
 	return up != nil && !up.settled
 }
 
+// mayStart reports whether a task waits and certainly has no run.
+func (c *Core) mayStart(p *part, t *task) bool { return t.waits(c.now) && !c.mayRunUnseen(p, t) }
+
 // reserve estimates, for each team, what an earlier owner's tasks may use unseen: at most their requests, and at most
 // what the upstreams hold that were not reached since the claim.
 func (c *Core) reserve() {
@@ -239,7 +242,7 @@
 	room := p.step.Room()
 	for i := range p.tasks {
 		t := &p.tasks[i]
-		if !t.waits(c.now) || c.mayRunUnseen(p, t) {
+		if !c.mayStart(p, t) {
 			continue
 		}
 		if !p.job.team.allows(p.step.Request) {
@@ -263,7 +266,7 @@
 	attempt := uint64(0)
 	for i := range p.tasks {
 		t := &p.tasks[i]
-		if !t.waits(c.now) || c.mayRunUnseen(p, t) {
+		if !c.mayStart(p, t) {
 			return // an earlier attempt has not ended everywhere
 		}
 		attempt = max(attempt, c.nextAttempt(t))
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -197,6 +197,12 @@
 	}})
 }
 
+// retryLater notes an order without an answer, which is sent again after a growing pause.
+func (r *run) retryLater(now time.Duration) {
+	r.orders++
+	r.retryAt = now + min(orderRetry<<min(r.orders, 5), orderRetryMax)
+}
+
 // retryOrders sends orders again that got no answer.
 func (c *Core) retryOrders() {
 	for _, up := range c.upstreams.all() {
@@ -264,12 +270,11 @@
 }
 
 func (c *Core) startUnanswered(r *run, err error) {
-	r.orders++
 	r.floating = true
 	if r.state == runStarting {
 		r.state = runUnknown
 	}
-	r.retryAt = c.now + min(orderRetry<<min(r.orders, 5), orderRetryMax)
+	r.retryLater(c.now)
 	c.Log("start got no answer", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt,
 		"upstream", r.up.ID, "tries", r.orders, "error", err.Error())
 }
@@ -332,8 +337,7 @@
 	case errors.As(err, &refused) && refused.Reason == platform.RefusedOld:
 		r.state = runStopped
 	default:
-		r.orders++
-		r.retryAt = c.now + min(orderRetry<<min(r.orders, 5), orderRetryMax)
+		r.retryLater(c.now)
 		if r.orders == 1 {
 			c.Log("stop got no answer", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt,
 				"upstream", r.up.ID, "error", err.Error())
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -241,11 +241,8 @@
 		if part.step.Label != "" || !c.couldHold(p, part.step) {
 			continue
 		}
-		for i := range part.tasks {
-			if t := &part.tasks[i]; t.waits(c.now) && !c.mayRunUnseen(part, t) {
-				byTeam[part.job.team] += part.step.Room().MilliCPU
-			}
-		}
+		waiting, _ := c.waitingOf(part)
+		byTeam[part.job.team] += int64(waiting) * part.step.Room().MilliCPU
 	}
 	var sum int64
 	for t, waiting := range byTeam {
@@ -379,8 +376,7 @@
 			c.machines[m.Machine] = listed
 		}
 		if up := c.upstreams.get(m.old); up != nil && up.Pool != m.Pool {
-			c.lose(up, "its machine has moved")
-			up.gone, up.settled, up.listed = true, true, false
+			c.markGone(up, "its machine has moved")
 		}
 	case isCertain(err):
 		c.Log("move refused", "machine", m.Machine, "from", m.from, "to", m.Pool, "error", err.Error())
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -239,16 +239,16 @@
 		if up.failedLooks > 0 && up.fenced && up.runs.len() > 0 && c.now > up.leaseEnd() {
 			c.lose(up, "its lease has expired")
 		}
-		if !up.listed && up.settled && up.runs.len() == 0 && up.stored && (up.gone || up.failedLooks > 0 || up.isIdle()) {
+		if !up.listed && up.settled && up.stored && up.runs.len() == 0 && (up.gone || up.failedLooks > 0 || up.isQuiet()) {
 			c.remove(up)
 		}
 	}
 }
 
-// isIdle reports whether nothing runs on the upstream, no end is to be acknowledged and no look is under way. Nothing can
-// start there: this owner starts nothing, and earlier owners are fenced off.
-func (u *upstream) isIdle() bool {
-	return u.fenced && !u.looking && u.foreign == 0 && u.runs.len() == 0 && u.acked <= u.ackSent
+// isQuiet reports whether an upstream without runs of known jobs has none of others, no end to be acknowledged and no look
+// under way. Nothing can start there: this owner starts nothing, and earlier owners are fenced off.
+func (u *upstream) isQuiet() bool {
+	return u.fenced && !u.looking && u.foreign == 0 && u.acked <= u.ackSent
 }
 
 // inheritedLease returns how long after the claim an earlier owner's runs may go on unseen.
@@ -361,7 +361,12 @@
 // replaced handles the proof that another upstream is at an upstream's address.
 func (c *Core) replaced(up *upstream) {
 	c.Log("another upstream is at the address", "upstream", up.ID, "address", up.Address)
-	c.lose(up, "another upstream is at its address")
+	c.markGone(up, "another upstream is at its address")
+}
+
+// markGone handles the proof that an upstream runs nothing any more.
+func (c *Core) markGone(up *upstream, reason string) {
+	c.lose(up, reason)
 	up.gone, up.settled, up.listed = true, true, false
 }
 
