--- a/schedule/lacks_test.go
+++ b/schedule/lacks_test.go
@@ -12,7 +12,6 @@
 
 // withLabelledSpares lists two machines of the spare pool, of which one has the label x.
 func (b *bench) withLabelledSpares() {
-	b.withSpare()
 	capacity := job.Resources{MilliCPU: 16000, MemoryMB: 64000}
 	b.core.SetMachines([]platform.Machine{
 		{Name: "m-u-1", Pool: testPool, Phase: platform.MachineUp, Upstream: "u-1", Capacity: capacity, Labels: []string{"k", "r1"}},
@@ -29,9 +28,7 @@
 // (a calm day of a varied kainlena: 40 tasks kept 30 machines, and 500 tasks of another pool waited).
 func TestPoolPullsTheMachineWithTheLabel(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
+	b := newSpareBench(t)
 	b.withLabelledSpares()
 	b.add(1, labelledStep("x", 4))
 	moves := b.moves(3*time.Second, nil)
@@ -42,9 +39,7 @@
 // Guards against the same where no machine has the label.
 func TestNoMachineMovesForALabelThatNoneHas(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
+	b := newSpareBench(t)
 	b.withLabelledSpares()
 	b.add(1, labelledStep("y", 4))
 	is.Equal(len(b.moves(3*time.Second, nil)), 0)
--- a/schedule/orders_test.go
+++ b/schedule/orders_test.go
@@ -12,7 +12,6 @@
 
 // withTwoSpares adds a second machine to the spare pool.
 func (b *bench) withTwoSpares() {
-	b.withSpare()
 	b.core.SetMachines([]platform.Machine{
 		{Name: "m-u-1", Pool: testPool, Phase: platform.MachineUp, Upstream: "u-1"},
 		{Name: "m-off", Pool: sparePool, Phase: platform.MachineUp},
@@ -24,10 +23,8 @@
 // given orders for may move at once (13.7 s to 16.7 s of karri-sched-grown trouble-3, with 5,000 tasks waiting for room).
 func TestMachinesWithoutOrdersMoveAfterATakeover(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newSpareBench(t)
 	b.core.InheritOrders(schedule.Ordered{Moves: []string{"m-off"}})
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
 	b.withTwoSpares()
 	b.job(1, 48, 1000)
 	moves := b.moves(time.Second, nil)
@@ -41,10 +38,8 @@
 // Guards against orders for machines when it is not known which an earlier owner has given orders for.
 func TestUnreadableOrdersHoldAllMachines(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newSpareBench(t)
 	b.core.InheritUnknownOrders()
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
 	b.withTwoSpares()
 	b.job(1, 48, 1000)
 	is.Equal(len(b.moves(2*time.Second, nil)), 0)
@@ -53,9 +48,7 @@
 // Guards against an order that a later owner does not know of: the two would take turns on one machine.
 func TestMachineIsStoredBeforeItsFirstOrder(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
+	b := newSpareBench(t)
 	b.withTwoSpares()
 	b.job(1, 48, 1000)
 	for range 10 {
@@ -82,9 +75,7 @@
 // were written only with a newer order (35.0 s to 38.3 s of karri-sched scale-1).
 func TestOrdersThatArePastAreForgotten(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
+	b := newSpareBench(t)
 	b.withTwoSpares()
 	id := b.job(1, 48, 1000)
 	var stored schedule.Ordered
@@ -148,11 +139,7 @@
 // Guards against a panic when a wave is withdrawn while the order for one of its machines waits for a slow store.
 func TestOrderOfAWithdrawnWaveIsDropped(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.core.SetWaves(testWave(1, "m-u-1"), nil)
-	b.fence(platform.Lists{})
-	b.machines("u-1")
+	b := newWaveBench(t)
 	for range 20 { // the order is given, and waits to be stored
 		b.core.Decide()
 		b.at(50 * time.Millisecond)
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -51,15 +51,21 @@
 	})
 }
 
+// newSpareBench returns a bench with one upstream, fenced, and a spare pool.
+func newSpareBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	b.withSpare()
+	return b
+}
+
 // Guards against a pool that keeps too few upstreams for a step that has to spread, though processors are free: a
 // long-running task was not started again for 14 s while the pool's other machines were parked (LOST on hunt-91d2-31
 // of karri).
 func TestPoolGetsAMachineForAStepThatSpreads(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
-	b.withSpare()
+	b := newSpareBench(t)
 	b.at(4 * time.Second) // no order for machines within the pause between holders
 	b.add(1, job.Step{
 		Count: 2, Request: job.Resources{MilliCPU: 1000}, LongRunning: true, PerHost: 1, MayMiss: 1, Estimate: time.Second,
@@ -73,10 +79,7 @@
 // Guards against machines that move while the pool has room for all that waits.
 func TestNoMachineMovesWithoutNeed(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
-	b.withSpare()
+	b := newSpareBench(t)
 	b.at(4 * time.Second)
 	b.job(1, 4, 1000)
 	is.Equal(len(b.moves(2*time.Second, nil)), 0)
@@ -85,10 +88,7 @@
 // Guards against a job that no upstream can hold and that pulls all machines into its pool.
 func TestImpossibleJobsMoveNoMachines(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.fence(platform.Lists{})
-	b.withSpare()
+	b := newSpareBench(t)
 	b.at(4 * time.Second)
 	b.job(1, 4, 17000)
 	b.add(2, job.Step{Count: 2, Request: job.Resources{MemoryMB: 1 << 40}, Estimate: time.Second})
--- a/schedule/upkeep_test.go
+++ b/schedule/upkeep_test.go
@@ -23,6 +23,16 @@
 	b.core.SetMachines(list)
 }
 
+// newWaveBench returns a bench with one upstream, fenced, whose machine is due for upkeep.
+func newWaveBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.upstream("u-1")
+	b.core.SetWaves(testWave(1, "m-u-1"), nil)
+	b.fence(platform.Lists{})
+	b.machines("u-1")
+	return b
+}
+
 // order waits for the first upkeep order.
 func (b *bench) order() calls {
 	for range 200 {
@@ -53,11 +63,7 @@
 // still ran were started elsewhere).
 func TestUpkeepThatWasDoneBeforeLeavesTheUpstream(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.core.SetWaves(testWave(1, "m-u-1"), nil)
-	b.fence(platform.Lists{})
-	b.machines("u-1")
+	b := newWaveBench(t)
 	ordered := b.order()
 	b.core.UpkeepAnswered(ordered.upkeeps[0], nil)
 	b.at(50 * time.Millisecond)
@@ -79,11 +85,7 @@
 // known: the entry of the one before stays in the store for some heartbeats.
 func TestMachineIsBackWhenItsNewUpstreamIsKnown(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
-	b.upstream("u-1")
-	b.core.SetWaves(testWave(1, "m-u-1"), nil)
-	b.fence(platform.Lists{})
-	b.machines("u-1")
+	b := newWaveBench(t)
 	ordered := b.order()
 	b.core.UpkeepAnswered(ordered.upkeeps[0], nil)
 	b.core.WaveRecords()
