schedule: a machine is off only if no upstream is at work on it

An upstream now counts as a machine's life until it is gone or runs nothing, also without an entry and over a change of owner (the roster names the machine).

--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -226,13 +226,14 @@
 	Zone     string        `cbor:"4,keyasint"`
 	Born     int64         `cbor:"5,keyasint,omitempty"`
 	Capacity job.Resources `cbor:"6,keyasint"`
+	Machine  string        `cbor:"7,keyasint,omitempty"`
 }
 
 // RosterWrite returns the record of the upstreams on which tasks may run.
 func RosterWrite(upstreams []platform.Upstream) (platform.Write, error) {
 	entries := make([]rosterEntry, 0, len(upstreams))
 	for _, u := range upstreams {
-		entries = append(entries, rosterEntry{u.ID, u.Pool, u.Address, u.Zone, u.Born, u.Capacity})
+		entries = append(entries, rosterEntry{u.ID, u.Pool, u.Address, u.Zone, u.Born, u.Capacity, u.Machine})
 	}
 	value, err := job.Encode(entries)
 	return platform.Write{Key: rosterKey, Value: value}, err
@@ -251,7 +252,7 @@
 	upstreams := make([]platform.Upstream, 0, len(entries))
 	for _, e := range entries {
 		upstreams = append(upstreams, platform.Upstream{
-			ID: e.ID, Pool: e.Pool, Address: e.Address, Zone: e.Zone, Born: e.Born, Capacity: e.Capacity,
+			ID: e.ID, Pool: e.Pool, Address: e.Address, Zone: e.Zone, Born: e.Born, Capacity: e.Capacity, Machine: e.Machine,
 		})
 	}
 	return upstreams, nil
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -275,12 +275,13 @@
 	return 0
 }
 
-// spareMachine returns a machine of the spare pool that can be moved and helps, or an empty name.
+// spareMachine returns a machine of the spare pool that can be moved and helps, or an empty name. The list may be older
+// than a move: a machine that it shows in the spare pool may have joined another one.
 func (c *Core) spareMachine(l *lack) string {
 	best := ""
 	for name, m := range c.machines {
 		if !c.spare[m.Pool] || m.Phase != platform.MachineUp || c.evacuated[m.Zone] || !c.isMovable(name) ||
-			!l.fits(m.Labels, m.Capacity) {
+			!c.isOff(name) || !l.fits(m.Labels, m.Capacity) {
 			continue
 		}
 		if best == "" || name < best {
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -152,3 +152,18 @@
 	}
 	is.Equal(len(used), 4)
 }
+
+// Guards against moving a machine with everything that runs on it: the list of machines was read before a move, and showed
+// a machine in the spare pool that had joined a pool (AVAIL on karri-sched-grown trouble-2: two long-running tasks ended).
+func TestMachineThatHasJoinedIsNotSpare(t *testing.T) {
+	is := is.New(t)
+	b := newSpareBench(t)
+	b.core.SetMachines([]platform.Machine{
+		{Name: "m-u-1", Pool: sparePool, Phase: platform.MachineUp},
+		{Name: "m-off", Pool: sparePool, Phase: platform.MachineUp},
+	})
+	b.job(1, 32, 1000)
+	moves := b.moves(2*time.Second, map[string][]platform.Running{})
+	is.Equal(len(moves), 1)
+	is.Equal(moves[0].Machine, "m-off")
+}
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -180,11 +180,15 @@
 	}
 }
 
-// upstreamOf returns the upstream that is the present life of a machine, or nil. The entry of the life before may be in
-// the store for some heartbeats more.
+// upstreamOf returns the upstream that is the present life of a machine, or nil if nothing can run there. An upstream
+// without an entry may run on: it may be cut off from the store only. The entry of the life before may be in the store
+// for some heartbeats more.
 func (c *Core) upstreamOf(machine string) *upstream {
 	up := c.lives[machine]
-	if up == nil || !up.listed || c.upstreams.get(up.ID) != up {
+	if up == nil || up.gone || c.upstreams.get(up.ID) != up {
+		return nil
+	}
+	if !up.listed && up.settled && up.runs.len() == 0 {
 		return nil
 	}
 	return up
@@ -195,11 +199,18 @@
 	if up.Machine == "" {
 		return
 	}
-	if known := c.upstreamOf(up.Machine); known == nil || known.gone || up.Born >= known.Born {
+	if known := c.upstreamOf(up.Machine); known == nil || up.Born >= known.Born {
 		c.lives[up.Machine] = up
 	}
 }
 
+// isOff reports whether no upstream is at work on a machine. One that was never reached may be the late entry of a life
+// that has ended.
+func (c *Core) isOff(machine string) bool {
+	up := c.upstreamOf(machine)
+	return up == nil || up.runs.len() == 0 && (!up.fenced || up.failedLooks > 0)
+}
+
 // upkeep moves the waves on.
 func (c *Core) upkeep() {
 	if c.machines == nil || c.unknownOrders && c.now < c.holdersPause() {
--- a/schedule/upkeep_test.go
+++ b/schedule/upkeep_test.go
@@ -230,3 +230,33 @@
 	}
 	t.Fatal("the task on the draining upstream was never moved")
 }
+
+// Guards against an upkeep that ends what runs on an upstream without an entry: it may be cut off from the store only
+// (seen on karri-sched-grown trouble-2 from 13.8 s on, where the platform refused the order).
+func TestNoUpkeepWhileAnUpstreamWithoutEntryMayRun(t *testing.T) {
+	for name, inherited := range map[string]bool{"this owner's run": false, "an earlier owner's run": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			if inherited {
+				b.core.Inherit(platform.Upstream{ID: "u-1", Pool: testPool, Address: "u-1:1", Zone: "a", Machine: "m-u-1"})
+			} else {
+				b.upstream("u-1")
+				b.fence(platform.Lists{})
+				b.job(1, 1, 1000)
+				b.accept(b.decide().starts)
+				b.core.UnlistUpstream("u-1")
+			}
+			b.core.SetWaves(testWave(1, "m-u-1"), nil)
+			b.machines("u-1")
+			for range 60 { // the lease lasts longer
+				next := b.decide()
+				is.Equal(len(next.upkeeps), 0)
+				for _, look := range next.looks {
+					b.core.Looked(look, platform.Lists{}, platform.ErrUnanswered)
+				}
+				b.at(50 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -149,6 +149,7 @@
 	up := &upstream{Upstream: entry, runs: newOrdered[job.TaskID, *run](), stored: true, rack: platform.RackOf(entry.Labels)}
 	c.upstreams.set(entry.ID, up)
 	c.pool(entry.Pool).upstreams.set(entry.ID, up)
+	c.noteLife(up)
 }
 
 // Roster returns the upstreams to be stored, if they have changed since the last call.
