schedule: only a look asked for after an upkeep was accepted shows that it was done before

A look that was under way when the order was accepted, such as one that acknowledges ends, was answered before the upstream went down, and counted as proof that the upstream lived on: the machine was taken for done while it was down, and one more of the wave could begin. Test: TestLookFromBeforeTheUpkeepProvesNothing failed first.

--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -35,6 +35,7 @@
 	since   time.Duration
 	old     string // upstream at the time of the order
 	oldBorn int64
+	asked   uint64 // the last look at it that was asked for when the order was accepted
 	retryAt time.Duration
 	number  uint64 // of the order
 	missing int    // lists in a row that did not name it
@@ -336,7 +337,7 @@
 		}
 	case machineDown:
 		up := c.upstreamOf(m.name)
-		if up != nil && up.ID == m.old && up.Born == m.oldBorn && up.heardAt > m.since {
+		if up != nil && up.ID == m.old && up.Born == m.oldBorn && up.answeredSeq > m.asked {
 			up.cordoned, up.probe = false, false
 			c.machineBack(w, m, "done before")
 			return
@@ -451,7 +452,7 @@
 		// a look shows it.
 		m.state, m.since = machineDown, c.now
 		if up := c.upstreams.get(m.old); up != nil {
-			up.probe = true
+			up.probe, m.asked = true, up.lookSeq
 		}
 	case isCertain(err):
 		// Nothing was done: the machine stays in service until another try.
--- a/schedule/upkeep_test.go
+++ b/schedule/upkeep_test.go
@@ -9,6 +9,7 @@
 
 	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
 )
 
 func testWave(atOnce int, machines ...string) []platform.Wave {
@@ -260,3 +261,45 @@
 		})
 	}
 }
+
+// Guards against taking a machine for one whose upkeep was done before, since a look that was under way when the order
+// was accepted had been answered before the upstream went down.
+func TestLookFromBeforeTheUpkeepProvesNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.upstream("u-1")
+	b.fence(platform.Lists{})
+	id := b.job(1, 1, 1000)
+	begun := b.decide()
+	b.accept(begun.starts)
+	b.core.SetWaves(testWave(1, "m-u-1"), nil)
+	b.machines("u-1")
+	task := job.TaskID{Job: id}
+	for _, look := range begun.looks {
+		b.answer(look, platform.Lists{Running: []platform.Running{{Task: task, Attempt: 1}}})
+	}
+	var acknowledging []schedule.Look // under way
+	var ordered []schedule.Upkeep
+	for range 40 {
+		b.at(100 * time.Millisecond)
+		next := b.decide()
+		for _, look := range next.looks {
+			if look.Order.AckedSeq > 0 {
+				acknowledging = append(acknowledging, look)
+				continue
+			}
+			b.answer(look, platform.Lists{Ended: []platform.Ended{{Seq: 1, Task: task, Attempt: 1, Kind: platform.EndDone}}})
+		}
+		if ordered = next.upkeeps; len(ordered) > 0 {
+			break
+		}
+	}
+	is.Equal(len(ordered), 1)
+	is.Equal(len(acknowledging), 1)
+	b.core.WaveRecords()
+	b.core.UpkeepAnswered(ordered[0], nil)
+	b.at(20 * time.Millisecond)
+	b.answer(acknowledging[0], platform.Lists{})
+	b.decide()
+	is.Equal(len(b.core.WaveRecords()), 0) // nothing is done yet
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -28,7 +28,8 @@
 	maxDeadline int64 // latest lease deadline in any order that may have reached it
 
 	looking     bool
-	lookSeq     uint64
+	lookSeq     uint64 // of the last look that was asked for
+	answeredSeq uint64 // of the last look that was answered
 	nextLook    time.Duration
 	failedLooks int
 	heardAt     time.Duration // of the last answer to a look
@@ -313,6 +314,7 @@
 		c.Log("upstream answers again", "upstream", up.ID, "failed_looks", up.failedLooks)
 	}
 	up.failedLooks, up.heardAt, up.nextLook = 0, c.now, c.now+lookGap
+	up.answeredSeq = look.seq
 	if lists.Born != 0 && up.Born != 0 && lists.Born < up.Born {
 		return // a late answer of an earlier life
 	}
