--- a/schedule/core.go
+++ b/schedule/core.go
@@ -8,6 +8,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	// pollRetryDelay and maxPollRetryDelay bound the backoff after a failed poll.
 	pollRetryDelay    = 150 * time.Millisecond
 	maxPollRetryDelay = time.Second
+	// reviewInterval is the shortest time between two reviews of all runs, whose outcome changes slowly.
+	reviewInterval = 50 * time.Millisecond
 	// takeoverMargin is added to the lease to bound how long after the claim an upstream that has not been reached
 	// may still run an earlier owner's tasks.
 	takeoverMargin = 300 * time.Millisecond
@@ -73,6 +76,7 @@
 	moves           *orderedMap[string, *machineMove] // by machine
 	moveRetryAt     map[string]time.Duration          // by machine: when a rejected move may be tried again
 	nextSizing      time.Duration
+	nextReview      time.Duration // of all runs
 	// lastMachineCommand is the number of the last command for a machine. The number is part of the fencing token, so
 	// that a delayed copy of an earlier command is rejected after a newer one.
 	lastMachineCommand uint64
@@ -86,8 +90,9 @@
 	calls []Call
 	// anyUnreconciled is set while some upstream has not been reached since the claim.
 	anyUnreconciled bool
-	plannedRuns     []*run // runs whose upstreams are being recorded before the start is sent
-	superseded      bool   // an upstream has seen a higher fencing token
+	plannedRuns     []*run                      // runs whose upstreams are being recorded before the start is sent
+	unresolvedRuns  *orderedMap[*run, struct{}] // runs with a command that may have to be sent again
+	superseded      bool                        // an upstream has seen a higher fencing token
 
 	wantedLabels []string // labels required by waiting tasks of the pool being placed
 
@@ -115,7 +120,9 @@
 type pool struct {
 	name      string
 	upstreams *orderedMap[string, *upstream]
+	byID      []*upstream                  // the upstreams, sorted by ID
 	parts     *orderedMap[*part, struct{}] // released parts that are not done
+	waiting   waitingParts
 	arrived   []arrivedWork
 	// surplusSince is when the pool last had no machines beyond surplusReserve.
 	surplusSince time.Duration
@@ -138,7 +145,8 @@
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, durationRatios: map[string]*durationRatio{},
 		newestUpstreams: map[string]*upstream{},
 		evacuated:       map[string]bool{}, dirty: newOrderedMap[job.ID, *jobState](),
-		retiredIDs: map[job.ID]struct{}{}, waves: newOrderedMap[int, *wave](),
+		unresolvedRuns: newOrderedMap[*run, struct{}](),
+		retiredIDs:     map[job.ID]struct{}{}, waves: newOrderedMap[int, *wave](),
 		moves: newOrderedMap[string, *machineMove](), moveRetryAt: map[string]time.Duration{},
 		commands: newOrderedMap[string, *machineCommands](), inheritedCommands: map[string]bool{},
 	}
@@ -180,6 +188,22 @@
 	return p
 }
 
+func (p *pool) has(part *part) bool {
+	_, ok := p.parts.lookup(part)
+	return ok
+}
+
+func (p *pool) addUpstream(up *upstream) {
+	p.upstreams.set(up.ID, up)
+	i, _ := slices.BinarySearchFunc(p.byID, up.ID, func(other *upstream, id string) int { return cmp.Compare(other.ID, id) })
+	p.byID = slices.Insert(p.byID, i, up)
+}
+
+func (p *pool) removeUpstream(up *upstream) {
+	p.upstreams.delete(up.ID)
+	p.byID = slices.DeleteFunc(p.byID, func(other *upstream) bool { return other == up })
+}
+
 func (c *Core) team(name string) *team {
 	t := c.teams[name]
 	if t == nil {
@@ -268,13 +292,16 @@
 func (c *Core) Decide() []Call {
 	c.addDueOccurrences()
 	c.expireLeases()
-	c.stopOverdue()
-	c.stopOnDrainingUpstreams()
-	c.advanceWaves()
+	if c.now >= c.nextReview {
+		c.nextReview = c.now + reviewInterval
+		c.stopOverdue()
+		c.stopOnDrainingUpstreams()
+		c.advanceWaves()
+		c.adjustPaces()
+	}
 	c.sizePools()
 	c.requestAdvice()
 	c.place()
-	c.adjustPaces()
 	c.resendCommands()
 	c.pollUpstreams()
 	calls := c.calls
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -35,6 +35,7 @@
 	released    bool          // all steps that it depends on are done
 	releasedAt  time.Duration // when released was set, for waiting times
 	inPool      bool          // listed in its pool's parts
+	queued      bool          // listed in its pool's waiting parts
 	tickets     *tickets
 }
 
@@ -237,6 +238,7 @@
 func (c *Core) addToPool(p *part) {
 	c.pool(p.job.Queue.Pool).parts.set(p, struct{}{})
 	p.inPool = true
+	c.queuePart(p)
 }
 
 func (c *Core) removeFromPool(p *part) {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -19,14 +18,6 @@
 // tooLateFactor is the multiple of the objective after which a job counts as too late.
 const tooLateFactor = 3
 
-// candidate is a part with waiting tasks and the keys by which candidates are sorted.
-type candidate struct {
-	part       *part
-	priority   int
-	timeliness int
-	jobWork    float64 // core-milliseconds that the job still needs
-}
-
 // place starts waiting tasks where capacity is free, in order of priority and urgency.
 func (c *Core) place() {
 	if !c.bundleSet {
@@ -46,60 +37,24 @@
 	if len(usable) == 0 {
 		return
 	}
-	candidates := c.candidates(p)
-	c.wantedLabels = c.wantedLabels[:0]
-	for _, candidate := range candidates {
-		if label := candidate.part.step.Label; label != "" && !slices.Contains(c.wantedLabels, label) {
-			c.wantedLabels = append(c.wantedLabels, label)
-		}
-	}
-	for _, candidate := range candidates {
+	c.sortWaiting(p)
+	c.wantedLabels = p.waiting.labels
+	room := p.waiting.withRoom(usable)
+	for _, candidate := range p.waiting.list {
 		part := candidate.part
-		if part.step.Gang {
+		switch {
+		case !p.has(part): // its job has ended or its queue has moved to another pool
+		case part.step.Gang:
 			c.placeGang(part, usable)
-		} else {
-			c.placeTasks(part, usable)
+		case part.step.BestEffort:
+			c.placeTasks(part, usable, usable)
+		case len(room) > 0:
+			c.placeTasks(part, usable, room)
+			room = p.waiting.withRoom(room)
 		}
 	}
 }
 
-// candidates returns the pool's parts with waiting tasks in the order in which they are placed.
-func (c *Core) candidates(p *pool) []candidate {
-	work := map[*jobState]float64{}
-	list := make([]candidate, 0, p.parts.len())
-	for part := range p.parts.all() {
-		if !part.hasWaiting(c.now) {
-			continue
-		}
-		j := part.job
-		if _, known := work[j]; !known {
-			work[j] = c.remainingWork(j)
-		}
-		list = append(list, candidate{part, j.Queue.Priority, c.timeliness(part), work[j]})
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.priority, b.priority),
-			cmp.Compare(a.timeliness, b.timeliness),
-			cmp.Compare(a.labelRank(), b.labelRank()),
-			cmp.Compare(a.jobWork, b.jobWork),
-			cmp.Compare(a.part.arrival, b.part.arrival),
-			cmp.Compare(a.part.job.ID, b.part.job.ID),
-			cmp.Compare(a.part.stepIndex, b.part.stepIndex),
-		)
-	})
-	return list
-}
-
-// labelRank returns 0 for a part that requires a label and 1 for any other. Parts that can run on few upstreams are
-// placed first.
-func (c candidate) labelRank() int {
-	if c.part.step.Label != "" {
-		return 0
-	}
-	return 1
-}
-
 func (p *part) hasWaiting(now time.Duration) bool {
 	for i := range p.tasks {
 		if p.tasks[i].isWaiting(now) {
@@ -148,13 +103,12 @@
 
 // usable returns the pool's upstreams on which tasks may start, sorted by ID.
 func (c *Core) usable(p *pool) []*upstream {
-	var usable []*upstream
-	for _, up := range p.upstreams.all() {
+	usable := make([]*upstream, 0, len(p.byID))
+	for _, up := range p.byID {
 		if c.isUsable(up) {
 			usable = append(usable, up)
 		}
 	}
-	slices.SortFunc(usable, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 	return usable
 }
 
@@ -241,8 +195,9 @@
 
 func withinCap(amount, limit int64) bool { return limit == 0 || amount <= limit }
 
-// placeTasks starts waiting tasks of a part until capacity or the team's cap is used up.
-func (c *Core) placeTasks(p *part, usable []*upstream) {
+// placeTasks starts waiting tasks of a part on the upstreams with room until their capacity or the team's cap is used
+// up.
+func (c *Core) placeTasks(p *part, usable, room []*upstream) {
 	reserved := p.step.ReservedResources()
 	for i := range p.tasks {
 		t := &p.tasks[i]
@@ -252,7 +207,7 @@
 		if !p.job.team.allows(p.step.Request) {
 			return
 		}
-		up := c.chooseUpstream(p, t, usable, reserved)
+		up := c.chooseUpstream(p, t, usable, room, reserved)
 		if up == nil {
 			return
 		}
@@ -349,12 +304,12 @@
 	return !p.job.Queue.NeedsAdvice || c.ticketFor(p, up) != ""
 }
 
-// chooseUpstream returns the best upstream for a task, or nil.
-func (c *Core) chooseUpstream(p *part, t *task, usable []*upstream, reserved job.Resources) *upstream {
+// chooseUpstream returns the best of the upstreams with room for a task, or nil.
+func (c *Core) chooseUpstream(p *part, t *task, usable, room []*upstream, reserved job.Resources) *upstream {
 	var best *upstream
 	var bestScore float64
 	waitForRack := p.step.Rack != "" && c.now-p.releasedAt < c.expectedDuration(p.job, p.step)
-	for _, up := range usable {
+	for _, up := range room {
 		if !reserved.Fits(up.freeCapacity()) || !c.admits(p, up) {
 			continue
 		}
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -188,6 +188,7 @@
 		}
 	}
 	c.stats.Failed++
+	c.queuePart(p)
 	p.progress.Failures = append(p.progress.Failures, job.TaskFailure{Index: index, Attempt: end.Attempt})
 	p.tasks[index].failures++
 	c.markDirty(p.job)
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -174,6 +174,7 @@
 		return
 	}
 	t.requeuedAt = c.now
+	c.queuePart(r.part)
 	c.stats.Requeued++
 	c.Log("task to be started again", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt,
 		"upstream", r.up.ID, "reason", reason, "ran_ms", (c.now - r.started).Milliseconds(), "checkpoint", t.checkpoint != "")
@@ -193,6 +194,7 @@
 	}
 	r.startUnresolved = r.mayStillStart()
 	r.state, r.unanswered = runStopping, 0
+	c.unresolvedRuns.set(r, struct{}{})
 	c.sendStop(r)
 }
 
@@ -211,21 +213,23 @@
 
 // resendCommands sends unanswered commands again.
 func (c *Core) resendCommands() {
-	for _, up := range c.upstreams.all() {
-		for _, r := range up.runs.all() {
-			if r.commandInFlight || c.now < r.retryAt || up.failedPolls > 0 {
-				continue
-			}
-			switch r.state {
-			case runUnknown:
-				if r.unanswered >= maxStartAttempts {
-					c.stopRun(r, "its start got no answer")
-				} else {
-					c.sendStart(r, c.ticketFor(r.part, up))
-				}
-			case runStopping:
-				c.sendStop(r)
+	for r := range c.unresolvedRuns.all() {
+		if r.detached || r.state != runUnknown && r.state != runStarting && r.state != runStopping {
+			c.unresolvedRuns.delete(r)
+			continue
+		}
+		if r.commandInFlight || c.now < r.retryAt || r.up.failedPolls > 0 {
+			continue
+		}
+		switch r.state {
+		case runUnknown:
+			if r.unanswered >= maxStartAttempts {
+				c.stopRun(r, "its start got no answer")
+			} else {
+				c.sendStart(r, c.ticketFor(r.part, r.up))
 			}
+		case runStopping:
+			c.sendStop(r)
 		}
 	}
 }
@@ -280,6 +284,7 @@
 	r.startUnresolved = true
 	if r.state == runStarting {
 		r.state = runUnknown
+		c.unresolvedRuns.set(r, struct{}{})
 	}
 	r.scheduleRetry(c.now)
 	c.Log("start got no answer", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt,
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -105,7 +105,7 @@
 	if up == nil {
 		up = &upstream{Upstream: entry, runs: newOrderedMap[job.TaskID, *run]()}
 		c.upstreams.set(entry.ID, up)
-		c.pool(entry.Pool).upstreams.set(entry.ID, up)
+		c.pool(entry.Pool).addUpstream(up)
 		c.rosterDirty = true
 		c.Log("upstream added", "upstream", entry.ID, "machine", entry.Machine, "labels", entry.Labels, "cpu", entry.Capacity.MilliCPU, "pool", entry.Pool, "zone", entry.Zone, "draining", entry.Draining)
 	}
@@ -153,7 +153,7 @@
 	}
 	up := &upstream{Upstream: entry, runs: newOrderedMap[job.TaskID, *run](), stored: true, rack: platform.RackOf(entry.Labels)}
 	c.upstreams.set(entry.ID, up)
-	c.pool(entry.Pool).upstreams.set(entry.ID, up)
+	c.pool(entry.Pool).addUpstream(up)
 	c.noteNewestUpstream(up)
 }
 
@@ -219,7 +219,7 @@
 // removeUpstream removes an upstream without runs.
 func (c *Core) removeUpstream(up *upstream) {
 	c.upstreams.delete(up.ID)
-	c.pool(up.Pool).upstreams.delete(up.ID)
+	c.pool(up.Pool).removeUpstream(up)
 	c.rosterDirty = true
 	c.Log("upstream removed", "upstream", up.ID)
 	if !c.isAddressInUse(up.Address) {
