ledger: one roster record per upstream

Cause: whenever an upstream joined or left, the owner wrote the whole roster, some 200 kB for 1,100 upstreams, with every batch while machines moved. On a small host it takes the whole link: starts get no answer in time. Change: each upstream has a record of its own (cg/roster/ID). The record of earlier versions is read once and replaced.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,7 +9,8 @@
 //	cg/job/ID/progress  written by the owner
 //	cg/owner            the host that owns the fleet; bound to the owner's lease
 //	cg/chain            replaced by each claim and each write of an owner, which are conditioned on its revision
-//	cg/roster           upstreams on which tasks may run
+//	cg/roster/ID        an upstream on which tasks may run
+//	cg/roster           all of these upstreams in one record, as earlier versions stored them
 //	cg/ordered          machines for which the owner may have sent commands
 //	cg/pending          for each queue, the number of jobs of which no task has started
 //	cg/wave/N           progress of a maintenance wave
@@ -32,7 +33,8 @@
 	JobPrefix      = "cg/job/"
 	OwnerKey       = "cg/owner"
 	chainKey       = "cg/chain"
-	rosterKey      = "cg/roster"
+	rosterPrefix   = "cg/roster/"
+	oldRosterKey   = "cg/roster"
 	commandedKey   = "cg/ordered"
 	pendingKey     = "cg/pending"
 	wavePrefix     = "cg/wave/"
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -139,13 +139,16 @@
 	Progress map[job.ID]job.Progress
 	Remove   []job.ID
 	Extra    []platform.Write
+	// RemoveKeys are other records to remove.
+	RemoveKeys []string
 }
 
-// MaxJobsPerWrite is the number of jobs that fit into one Write if each removal counts KeysPerRemoval times.
 const (
-	// The limit leaves room for the condition on cg/chain, its write and three records in Extra.
-	MaxJobsPerWrite = platform.MaxTxnEntries - 5
-	KeysPerRemoval  = 3
+	// MaxKeysPerWrite is the number of records that one Write may set or remove. The condition on cg/chain and its
+	// write take the rest of a transaction.
+	MaxKeysPerWrite = platform.MaxTxnEntries - 2
+	// KeysPerRemoval is the number of records that the removal of a job counts for.
+	KeysPerRemoval = 3
 )
 
 // Store executes a write as the owner. It repeats a write that is rejected or gets no response, until the outcome is
@@ -215,6 +218,7 @@
 	for _, id := range write.Remove {
 		txn.Remove = append(txn.Remove, jobKey(id), jobKey(id)+cancelSuffix, jobKey(id)+progressSuffix)
 	}
+	txn.Remove = append(txn.Remove, write.RemoveKeys...)
 	return txn, nil
 }
 
@@ -235,33 +239,55 @@
 	Machine   string        `cbor:"7,keyasint,omitempty"`
 }
 
-// RosterWrite returns the write that stores the upstreams on which tasks may run.
-func RosterWrite(upstreams []platform.Upstream) (platform.Write, error) {
-	entries := make([]rosterEntry, 0, len(upstreams))
-	for _, u := range upstreams {
-		entries = append(entries, rosterEntry{u.ID, u.Pool, u.Address, u.Zone, u.StartedMS, u.Capacity, u.Machine})
-	}
-	value, err := job.Encode(entries)
-	return platform.Write{Key: rosterKey, Value: value}, err
+// RosterWrite returns the write that stores an upstream on which tasks may run.
+func RosterWrite(u platform.Upstream) (platform.Write, error) {
+	value, err := job.Encode(rosterEntry{u.ID, u.Pool, u.Address, u.Zone, u.StartedMS, u.Capacity, u.Machine})
+	return platform.Write{Key: RosterRecordKey(u.ID), Value: value}, err
 }
 
+// RosterRecordKey returns the key of an upstream's record in the roster.
+func RosterRecordKey(upstream string) string { return rosterPrefix + upstream }
+
 // Roster reads the upstreams on which an earlier owner's tasks may run.
 func (l *Ledger) Roster(ctx context.Context, timeout time.Duration) ([]platform.Upstream, error) {
-	item, err := l.kv.Get(ctx, rosterKey, timeout)
-	if err != nil || item.Revision == 0 {
+	items, _, err := l.kv.ListAll(ctx, rosterPrefix, timeout)
+	if err != nil {
 		return nil, err
 	}
+	upstreams := make([]platform.Upstream, 0, len(items))
+	for _, item := range items {
+		var entry rosterEntry
+		if err := job.Decode(item.Value, &entry); err != nil {
+			return nil, err
+		}
+		upstreams = append(upstreams, entry.upstream())
+	}
+	return upstreams, nil
+}
+
+// OldRoster reads the roster as earlier versions stored it. found is false if there is no such record.
+func (l *Ledger) OldRoster(ctx context.Context, timeout time.Duration) (upstreams []platform.Upstream, found bool, err error) {
+	item, err := l.kv.Get(ctx, oldRosterKey, timeout)
+	if err != nil || item.Revision == 0 {
+		return nil, false, err
+	}
 	var entries []rosterEntry
 	if err := job.Decode(item.Value, &entries); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	upstreams := make([]platform.Upstream, 0, len(entries))
-	for _, e := range entries {
-		upstreams = append(upstreams, platform.Upstream{
-			ID: e.ID, Pool: e.Pool, Address: e.Address, Zone: e.Zone, StartedMS: e.StartedMS, Capacity: e.Capacity, Machine: e.Machine,
-		})
+	for _, entry := range entries {
+		upstreams = append(upstreams, entry.upstream())
+	}
+	return upstreams, true, nil
+}
+
+// OldRosterKey returns the key of the record that OldRoster reads.
+func OldRosterKey() string { return oldRosterKey }
+
+func (e rosterEntry) upstream() platform.Upstream {
+	return platform.Upstream{
+		ID: e.ID, Pool: e.Pool, Address: e.Address, Zone: e.Zone, StartedMS: e.StartedMS, Capacity: e.Capacity, Machine: e.Machine,
 	}
-	return upstreams, nil
 }
 
 // CommandedMachinesWrite returns the write that stores for which machines the owner may have sent commands.
--- a/owner/load.go
+++ b/owner/load.go
@@ -21,13 +21,10 @@
 		return err
 	}
 	s.applyOperatorState(s.Operator.State())
-	roster, err := s.Ledger.Roster(ctx, readTimeout)
+	roster, err := s.readRoster(ctx)
 	if err != nil {
 		return err
 	}
-	for _, entry := range roster {
-		s.core.InheritUpstream(entry)
-	}
 	if err := s.readCommandedMachines(ctx); err != nil {
 		return err
 	}
@@ -40,12 +37,33 @@
 		return err
 	}
 	s.current.Store(s)
-	s.Log("state loaded", "jobs", s.core.JobCount(), "roster", len(roster), "token", s.ownership.Token)
+	s.Log("state loaded", "jobs", s.core.JobCount(), "roster", roster, "token", s.ownership.Token)
 	go s.watch(ctx, platform.UpstreamPrefix, upstreamsRevision, s.handleUpstreamEvents, s.setUpstreams)
 	go s.watch(ctx, ledger.JobPrefix, jobsRevision, s.handleJobEvents, s.addJobs)
 	return nil
 }
 
+// readRoster reads the upstreams on which an earlier owner's tasks may run, and returns their number. A roster that an
+// earlier version stored in one record is stored again in this version's form.
+func (s *session) readRoster(ctx context.Context) (int, error) {
+	roster, err := s.Ledger.Roster(ctx, readTimeout)
+	if err != nil {
+		return 0, err
+	}
+	old, found, err := s.Ledger.OldRoster(ctx, readTimeout)
+	if err != nil {
+		return 0, err
+	}
+	s.oldRosterStored = found
+	for _, entry := range roster {
+		s.core.InheritUpstream(entry)
+	}
+	for _, entry := range old {
+		s.core.InheritOldUpstream(entry)
+	}
+	return len(roster) + len(old), nil
+}
+
 // readCommandedMachines reads for which machines an earlier owner may have sent commands. If the record is
 // unreadable, the earlier owner may have sent one for any machine.
 func (s *session) readCommandedMachines(ctx context.Context) error {
--- a/owner/session.go
+++ b/owner/session.go
@@ -66,8 +66,8 @@
 	failure   error
 
 	storing          bool
-	nextStore        time.Duration       // storeInterval after the end of the last write
-	rosterToStore    []platform.Upstream // nil: stored or being stored
+	nextStore        time.Duration // storeInterval after the end of the last write
+	oldRosterStored  bool          // the store still has the roster of an earlier version
 	nextPendingWrite time.Duration
 	lastPending      map[string]int
 	bundle           *platform.Bundle
--- a/owner/store.go
+++ b/owner/store.go
@@ -19,22 +19,18 @@
 	if s.storing || now < s.nextStore && !(s.core.HasCallsAwaitingRecords() && now >= s.nextStore-storeInterval+urgentStoreInterval) {
 		return
 	}
-	if roster, changed := s.core.Roster(); changed {
-		s.rosterToStore = roster
-	}
+	roster := s.core.TakeRosterChange()
 	pending := s.changedPendingCounts(now)
 	waves := s.core.WaveRecords()
-	if s.rosterToStore == nil && pending == nil && len(waves) == 0 && !s.core.HasUnstoredRecords() {
+	if roster.IsEmpty() && pending == nil && len(waves) == 0 && !s.core.HasUnstoredRecords() {
 		return
 	}
 	batch := s.core.TakeRecords()
-	writes := s.appendWaves(batchRecords(batch.Jobs), waves)
-	if err := s.addOtherRecords(&writes, pending, batch.CommandedMachines); err != nil {
+	writes, err := s.batchRecords(batch, roster, pending, waves)
+	if err != nil {
 		s.failure = errors.Wrap(err, "encode records")
 		return
 	}
-	roster := s.rosterToStore
-	s.rosterToStore = nil
 	s.storing = true
 	go func() {
 		err := s.storeWrites(ctx, writes)
@@ -53,7 +49,7 @@
 	return nil
 }
 
-func (s *session) storeFinished(batch uint64, roster []platform.Upstream, err error) {
+func (s *session) storeFinished(batch uint64, roster schedule.RosterChange, err error) {
 	s.storing = false
 	s.nextStore = clock.Now() + storeInterval
 	if err != nil {
@@ -65,55 +61,74 @@
 	s.core.RecordsStored(batch)
 }
 
-// batchRecords distributes records over as many writes as the store's limit on a transaction's size requires.
-func batchRecords(records []schedule.Record) []ledger.Write {
-	writes := []ledger.Write{{Progress: map[job.ID]job.Progress{}}}
-	size := 0
-	for _, record := range records {
-		weight := 1
-		if record.Remove {
-			weight = ledger.KeysPerRemoval
-		}
-		if size+weight > ledger.MaxJobsPerWrite {
-			writes = append(writes, ledger.Write{Progress: map[job.ID]job.Progress{}})
-			size = 0
-		}
-		size += weight
-		last := &writes[len(writes)-1]
-		if record.Remove {
-			last.Remove = append(last.Remove, record.ID)
-		} else {
-			last.Progress[record.ID] = record.Progress
-		}
-	}
-	return writes
+// writeBatch distributes records over as many writes as the store's limit on a transaction's size requires.
+type writeBatch struct {
+	writes []ledger.Write
+	keys   int // number of keys in the last write
+}
+
+// next returns the write to which a record with the given number of keys is to be added.
+func (b *writeBatch) next(keys int) *ledger.Write {
+	if len(b.writes) == 0 || b.keys+keys > ledger.MaxKeysPerWrite {
+		b.writes = append(b.writes, ledger.Write{Progress: map[job.ID]job.Progress{}})
+		b.keys = 0
+	}
+	b.keys += keys
+	return &b.writes[len(b.writes)-1]
+}
+
+func (b *writeBatch) set(writes ...platform.Write) {
+	w := b.next(len(writes))
+	w.Extra = append(w.Extra, writes...)
+}
+
+func (b *writeBatch) remove(key string) {
+	w := b.next(1)
+	w.RemoveKeys = append(w.RemoveKeys, key)
 }
 
-// addOtherRecords adds the roster, the commanded machines and the counts of pending jobs to the first write.
-func (s *session) addOtherRecords(writes *[]ledger.Write, pending map[string]int, commanded *schedule.CommandedMachines) error {
-	first := &(*writes)[0]
-	if commanded != nil {
-		write, err := ledger.CommandedMachinesWrite(commanded)
+// batchRecords returns the writes for a batch of records, a change of the roster, the counts of pending jobs (nil:
+// unchanged) and waves.
+func (s *session) batchRecords(batch schedule.RecordBatch, roster schedule.RosterChange, pending map[string]int, waves []schedule.WaveRecord) ([]ledger.Write, error) {
+	var b writeBatch
+	if batch.CommandedMachines != nil {
+		write, err := ledger.CommandedMachinesWrite(batch.CommandedMachines)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		first.Extra = append(first.Extra, write)
+		b.set(write)
 	}
-	if s.rosterToStore != nil {
-		write, err := ledger.RosterWrite(s.rosterToStore)
+	if pending != nil {
+		write, err := ledger.PendingWrite(pending, clock.WallMS())
 		if err != nil {
-			return err
+			return nil, err
 		}
-		first.Extra = append(first.Extra, write)
+		b.set(write)
 	}
-	if pending != nil {
-		write, err := ledger.PendingWrite(pending, clock.WallMS())
+	for _, entry := range roster.Added {
+		write, err := ledger.RosterWrite(entry)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		first.Extra = append(first.Extra, write)
+		b.set(write)
 	}
-	return nil
+	for _, id := range roster.Removed {
+		b.remove(ledger.RosterRecordKey(id))
+	}
+	for _, record := range batch.Jobs {
+		if record.Remove {
+			w := b.next(ledger.KeysPerRemoval)
+			w.Remove = append(w.Remove, record.ID)
+		} else {
+			b.next(1).Progress[record.ID] = record.Progress
+		}
+	}
+	s.appendWaves(&b, waves)
+	if s.oldRosterStored {
+		b.remove(ledger.OldRosterKey())
+		s.oldRosterStored = false
+	}
+	return b.writes, nil
 }
 
 // changedPendingCounts returns the number of pending jobs by queue, or nil if no count has changed or the last write is
@@ -160,15 +175,14 @@
 	return nil
 }
 
-// appendWaves appends a write for each changed wave record.
-func (s *session) appendWaves(writes []ledger.Write, waves []schedule.WaveRecord) []ledger.Write {
+// appendWaves appends the writes for each changed wave record.
+func (s *session) appendWaves(b *writeBatch, waves []schedule.WaveRecord) {
 	for _, wave := range waves {
-		extra, err := ledger.WaveWrites(wave.Number, wave, wave.Succeeded)
+		writes, err := ledger.WaveWrites(wave.Number, wave, wave.Succeeded)
 		if err != nil {
 			s.Log("encoding a wave record failed", "wave", wave.Number, "error", err.Error())
 			continue
 		}
-		writes = append(writes, ledger.Write{Extra: extra})
+		b.set(writes...)
 	}
-	return writes
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -100,7 +100,7 @@
 	lastBatch    uint64          // number of the last batch of records that TakeRecords returned
 	durableBatch uint64          // number of the last batch that is stored
 	dirty        *orderedMap[job.ID, *jobState]
-	rosterDirty  bool
+	roster       *orderedMap[string, *upstream] // changes to be stored, by ID; nil: removed
 	retired      []retired
 	retiredIDs   map[job.ID]struct{} // jobs in retired
 	stats        Stats
@@ -143,8 +143,8 @@
 		Options: options,
 		jobs:    newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, durationRatios: map[string]*durationRatio{},
-		newestUpstreams: map[string]*upstream{},
-		evacuated:       map[string]bool{}, dirty: newOrderedMap[job.ID, *jobState](),
+		newestUpstreams: map[string]*upstream{}, roster: newOrderedMap[string, *upstream](),
+		evacuated: map[string]bool{}, dirty: newOrderedMap[job.ID, *jobState](),
 		unresolvedRuns: newOrderedMap[*run, struct{}](),
 		retiredIDs:     map[job.ID]struct{}{}, waves: newOrderedMap[int, *wave](),
 		moves: newOrderedMap[string, *machineMove](), moveRetryAt: map[string]time.Duration{},
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -62,7 +62,7 @@
 		Capacity: job.Resources{MilliCPU: 16000, MemoryMB: 64000}, Labels: []string{"k", "r1"},
 	}
 	h.core.SetUpstream(entry)
-	h.core.RosterStored([]platform.Upstream{entry})
+	h.core.RosterStored(schedule.RosterChange{Added: []platform.Upstream{entry}})
 }
 
 // addUniformJob adds a job with one step of equal tasks with the given processor request.
--- a/schedule/loadsim_test.go
+++ b/schedule/loadsim_test.go
@@ -246,9 +246,9 @@
 	for _, call := range calls {
 		sim.execute(call)
 	}
-	roster, changed := sim.core.Roster()
-	if sim.storing || !changed && !sim.core.HasUnstoredRecords() {
-		if changed {
+	roster := sim.core.TakeRosterChange()
+	if sim.storing || roster.IsEmpty() && !sim.core.HasUnstoredRecords() {
+		if !roster.IsEmpty() {
 			sim.after(loadStoreTime, func() { sim.core.RosterStored(roster) })
 		}
 		return
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -193,8 +193,11 @@
 		}
 		sim.calls = append(sim.calls, pending)
 	}
-	if !o.storing && (o.core.HasUnstoredRecords() || sim.rosterChanged(o)) {
-		sim.store(o)
+	if o.storing {
+		return
+	}
+	if roster := o.core.TakeRosterChange(); o.core.HasUnstoredRecords() || !roster.IsEmpty() {
+		sim.store(o, roster)
 	}
 }
 
@@ -202,24 +205,11 @@
 	return time.Duration(rapid.IntRange(1, most).Draw(sim.t, name)) * time.Millisecond
 }
 
-// unstoredRoster is the newest roster that has not been written to the store; nil if there is none.
-var unstoredRoster []platform.Upstream
-
-func (sim *simulation) rosterChanged(o *simOwner) bool {
-	roster, changed := o.core.Roster()
-	if changed {
-		unstoredRoster = roster
-	}
-	return changed
-}
-
 // store writes a batch. Until the write is confirmed, its records may be stored or not, even after the owner has
 // crashed.
-func (sim *simulation) store(o *simOwner) {
+func (sim *simulation) store(o *simOwner, roster schedule.RosterChange) {
 	o.storing = true
 	batch := o.core.TakeRecords()
-	roster := unstoredRoster
-	unstoredRoster = nil
 	applied := false
 	sim.calls = append(sim.calls, &pendingCall{owner: o, at: sim.now + sim.delay("write", 60), complete: func(o *simOwner) {
 		if sim.owner != o || applied {
@@ -234,9 +224,10 @@
 			progress := record.Progress
 			sim.stored[record.ID].progress = &progress
 		}
-		if roster != nil {
-			sim.roster = roster
-		}
+		sim.roster = slices.DeleteFunc(sim.roster, func(entry platform.Upstream) bool {
+			return slices.Contains(roster.Removed, entry.ID)
+		})
+		sim.roster = append(sim.roster, roster.Added...)
 		if !o.dead {
 			o.storing = false
 			o.core.RosterStored(roster)
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -106,7 +106,7 @@
 		up = &upstream{Upstream: entry, runs: newOrderedMap[job.TaskID, *run]()}
 		c.upstreams.set(entry.ID, up)
 		c.pool(entry.Pool).addUpstream(up)
-		c.rosterDirty = true
+		c.roster.set(up.ID, up)
 		c.Log("upstream added", "upstream", entry.ID, "machine", entry.Machine, "labels", entry.Labels, "cpu", entry.Capacity.MilliCPU, "pool", entry.Pool, "zone", entry.Zone, "draining", entry.Draining)
 	}
 	if up.StartedMS != 0 && entry.StartedMS != 0 && entry.StartedMS > up.StartedMS {
@@ -157,21 +157,38 @@
 	c.noteNewestUpstream(up)
 }
 
-// Roster returns the upstreams to be stored if they have changed since the last call.
-func (c *Core) Roster() (roster []platform.Upstream, changed bool) {
-	if !c.rosterDirty {
-		return nil, false
-	}
-	c.rosterDirty = false
-	for _, up := range c.upstreams.all() {
-		roster = append(roster, up.Upstream)
+// InheritOldUpstream adds an upstream as InheritUpstream does, and has it stored again.
+func (c *Core) InheritOldUpstream(entry platform.Upstream) {
+	c.InheritUpstream(entry)
+	c.roster.set(entry.ID, c.upstreams.get(entry.ID))
+}
+
+// RosterChange is a change of the roster, the stored set of upstreams on which tasks may run.
+type RosterChange struct {
+	Added   []platform.Upstream
+	Removed []string // IDs
+}
+
+// IsEmpty reports whether the change has no effect.
+func (r RosterChange) IsEmpty() bool { return len(r.Added) == 0 && len(r.Removed) == 0 }
+
+// TakeRosterChange returns the change of the roster since the last call.
+func (c *Core) TakeRosterChange() RosterChange {
+	var change RosterChange
+	for id, up := range c.roster.all() {
+		if up == nil {
+			change.Removed = append(change.Removed, id)
+		} else {
+			change.Added = append(change.Added, up.Upstream)
+		}
+		c.roster.delete(id)
 	}
-	return roster, true
+	return change
 }
 
-// RosterStored confirms that these upstreams are in the stored roster. Tasks may now start there.
-func (c *Core) RosterStored(roster []platform.Upstream) {
-	for _, entry := range roster {
+// RosterStored confirms that a change of the roster is stored. Tasks may now start on the added upstreams.
+func (c *Core) RosterStored(change RosterChange) {
+	for _, entry := range change.Added {
 		if up := c.upstreams.get(entry.ID); up != nil {
 			up.stored = true
 		}
@@ -220,7 +237,7 @@
 func (c *Core) removeUpstream(up *upstream) {
 	c.upstreams.delete(up.ID)
 	c.pool(up.Pool).removeUpstream(up)
-	c.rosterDirty = true
+	c.roster.set(up.ID, nil)
 	c.Log("upstream removed", "upstream", up.ID)
 	if !c.isAddressInUse(up.Address) {
 		c.calls = append(c.calls, CloseConnections{Address: up.Address})
