testbed: ports that no outgoing connection can take

Cause: tests chose a port by listening on port 0 and closing the listener; any outgoing connection of any process could take it before the entry host listened (seen once in TestAnyHostExplainsAJob). soakAddress had a better, second way. Change: package testbed/ports hands out ports below the kernel's range for connections, in blocks that one process reserves by a listener. It replaces both ways. Measured: TestPortsAreNotTakenByConnections fails for ports of the kernel's choice (they are in the range for connections).

--- a/cmd/citrongauge/fleet_test.go
+++ b/cmd/citrongauge/fleet_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -23,6 +24,7 @@
 	"citrongauge.example/citrongauge/bundle"
 	"citrongauge.example/citrongauge/daemon"
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/testbed/ports"
 	"citrongauge.example/citrongauge/testbed/standin"
 	"citrongauge.example/citrongauge/upstream"
 )
@@ -140,12 +142,11 @@
 }
 
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 }
 
 // startHost starts a daemon process and returns without waiting for it to be ready.
--- a/cmd/citrongauge/soak_test.go
+++ b/cmd/citrongauge/soak_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -51,10 +50,6 @@
 	return n
 }
 
-// usedSoakPorts holds the ports that soakAddress has returned. The daemons listen on them only later, so until then an
-// assigned port still appears free.
-var usedSoakPorts sync.Map
-
 type soakRun struct {
 	t      *testing.T
 	rng    *rand.Rand
@@ -104,34 +99,14 @@
 	s.verify()
 }
 
-// soakAddress returns a free loopback address whose port is below the kernel's ephemeral range: before the daemon
-// listens, a client of this or another test could take an ephemeral port for an outgoing connection. No port is
-// returned twice.
-func soakAddress(t *testing.T) string {
-	for range 100 {
-		port := 10_000 + rand.IntN(20_000)
-		if _, taken := usedSoakPorts.LoadOrStore(port, true); taken {
-			continue
-		}
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port found in 100 attempts")
-	return ""
-}
-
 func (s *soakRun) newHost(directory string, i int) *soakHost {
-	internalAddress := soakAddress(s.t)
+	internalAddress := freeAddress(s.t)
 	port, err := strconv.Atoi(internalAddress[strings.LastIndex(internalAddress, ":")+1:])
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	h := &soakHost{
-		clientAddress: soakAddress(s.t), settingsPath: filepath.Join(directory, fmt.Sprintf("host%d.toml", i)),
+		clientAddress: freeAddress(s.t), settingsPath: filepath.Join(directory, fmt.Sprintf("host%d.toml", i)),
 		logPath: filepath.Join(directory, fmt.Sprintf("host%d.log", i)),
 	}
 	name := fmt.Sprintf("edge-%d", i+1)
@@ -140,7 +115,7 @@
 		s.t.Fatal(err)
 	}
 	h.storeProxy = proxy
-	content := s.fleet.Settings(name, platformfleet.ZoneName(i), h.clientAddress, soakAddress(s.t), port)
+	content := s.fleet.Settings(name, platformfleet.ZoneName(i), h.clientAddress, freeAddress(s.t), port)
 	content = strings.Replace(content, s.fleet.StoreAddress(), proxy.Address(), 1)
 	if err := os.WriteFile(h.settingsPath, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/testbed/fleet/entry_test.go
+++ b/testbed/fleet/entry_test.go
@@ -18,6 +18,7 @@
 	"citrongauge.example/citrongauge/entry"
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/testbed/fleet"
+	"citrongauge.example/citrongauge/testbed/ports"
 )
 
 const teamKey = "team-key"
@@ -94,12 +95,11 @@
 }
 
 func freePort(t *testing.T) int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 func address(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
--- /dev/null
+++ b/testbed/ports/ports.go
@@ -0,0 +1,71 @@
+// Package ports hands out TCP ports on loopback for processes that a test starts.
+//
+// A port that the kernel chooses for a listener is free again once that listener is closed, and any outgoing connection
+// may take it before the process under test listens on it. This package uses ports below the kernel's range for such
+// connections, in blocks that are reserved for one test process each.
+package ports
+
+import (
+	"net"
+	"strconv"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	firstPort = 10_000
+	lastPort  = 32_000 // below the usual range for outgoing connections
+	blockSize = 200    // ports
+)
+
+// ErrNoFreePort reports that all blocks are reserved by other processes, or that all ports of this process's block have
+// been handed out.
+var ErrNoFreePort = errors.New("no free port")
+
+// block is the range of ports of this process. The listener on its first port reserves it until the process ends.
+var block struct {
+	mu       sync.Mutex
+	reserved net.Listener
+	next     int
+	end      int
+}
+
+// Free returns a port on 127.0.0.1 that nothing listens on and that no other call returns.
+func Free() (int, error) {
+	block.mu.Lock()
+	defer block.mu.Unlock()
+	if block.reserved == nil {
+		if err := reserveBlock(); err != nil {
+			return 0, err
+		}
+	}
+	for block.next < block.end {
+		port := block.next
+		block.next++
+		listener, err := listen(port)
+		if err != nil {
+			continue // used by another program
+		}
+		if err := listener.Close(); err != nil {
+			return 0, err
+		}
+		return port, nil
+	}
+	return 0, errors.Wrap(ErrNoFreePort, "block used up")
+}
+
+func reserveBlock() error {
+	for first := firstPort; first+blockSize <= lastPort; first += blockSize {
+		listener, err := listen(first)
+		if err == nil {
+			block.reserved, block.next, block.end = listener, first+1, first+blockSize
+			return nil
+		}
+	}
+	return errors.Wrap(ErrNoFreePort, "all blocks are reserved")
+}
+
+func listen(port int) (net.Listener, error) {
+	return net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+}
--- /dev/null
+++ b/testbed/ports/ports_test.go
@@ -0,0 +1,38 @@
+package ports_test
+
+import (
+	"net"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/testbed/ports"
+)
+
+// Guards against a port that an outgoing connection takes before the process under test listens on it, and against a
+// port that is handed out twice.
+func TestPortsAreNotTakenByConnections(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	lowest := listener.Addr().(*net.TCPAddr).Port
+	handedOut := map[int]bool{}
+	for range 50 {
+		port, err := ports.Free()
+		is.NoErr(err)
+		is.True(!handedOut[port])
+		handedOut[port] = true
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = connection.Close() }()
+		lowest = min(lowest, connection.LocalAddr().(*net.TCPAddr).Port)
+	}
+	for port := range handedOut {
+		is.True(port < lowest)
+		used, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		is.NoErr(err) // nothing listens on it
+		is.NoErr(used.Close())
+	}
+}
