owner: a page of the stored state may take as long as the link needs

Cause: a new owner gave each read of a page 1 s. Change: the timeout of reads that return pages includes the time that the link needs for the largest page.

--- a/owner/load.go
+++ b/owner/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -46,7 +47,7 @@
 // readRoster reads the upstreams on which an earlier owner's tasks may run, and returns their number. A roster that an
 // earlier version stored in one record is stored again in this version's form.
 func (s *session) readRoster(ctx context.Context) (int, error) {
-	roster, err := s.Ledger.Roster(ctx, readTimeout)
+	roster, err := s.Ledger.Roster(ctx, s.pageTimeout())
 	if err != nil {
 		return 0, err
 	}
@@ -78,9 +79,18 @@
 	return err
 }
 
+// pageTimeout returns the timeout of a read that may return a full page, which takes seconds on a slow link.
+func (s *session) pageTimeout() time.Duration {
+	if s.Settings.Capacity.LinkMbps <= 0 {
+		return readTimeout
+	}
+	megabits := 8 * float64(platform.MaxPageBytes) / 1e6
+	return readTimeout + time.Duration(megabits/s.Settings.Capacity.LinkMbps*float64(time.Second))
+}
+
 // readPrefix passes all items under prefix to handleAll. A watch that starts at the returned revision misses no change.
 func (s *session) readPrefix(ctx context.Context, prefix string, handleAll func([]platform.Item)) (asOf uint64, err error) {
-	items, asOf, err := s.KV.ListAll(ctx, prefix, readTimeout)
+	items, asOf, err := s.KV.ListAll(ctx, prefix, s.pageTimeout())
 	if err == nil {
 		handleAll(items)
 	}
--- a/owner/store.go
+++ b/owner/store.go
@@ -159,7 +159,7 @@
 
 // readWaves reads the records of waves that earlier owners have stored. It skips unreadable records.
 func (s *session) readWaves(ctx context.Context) error {
-	values, err := s.Ledger.Waves(ctx, readTimeout)
+	values, err := s.Ledger.Waves(ctx, s.pageTimeout())
 	if err != nil {
 		return err
 	}
--- a/testbed/fleet/owner_test.go
+++ b/testbed/fleet/owner_test.go
@@ -76,6 +76,22 @@
 	waitOwner(t, f, "edge-second", 2*time.Second)
 }
 
+// TestOwnerLoadsStateOverSlowLink guards against an owner that gives up because a page of the stored state takes longer
+// than other calls. In testbed run karri-sched-large trouble-3 (small) hosts with 2 Mbit/s took over in turn, and none
+// of them started a task.
+func TestOwnerLoadsStateOverSlowLink(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	defer f.Close()
+	f.Store.SetFaults(fleet.StoreFaults{ListLatency: 1200 * time.Millisecond})
+	h := addHost(t, f, "edge-1", func(s *platform.Settings) { s.Capacity.LinkMbps = 4 })
+	defer h.stop()
+	status, _ := h.call("POST", jobID(1), oneTaskJob, teamKey)
+	is.Equal(status, 200)
+	time.Sleep(4 * time.Second)
+	h.waitPhase(jobID(1), "succeeded")
+}
+
 // explain requests the explanation of a job's state from a host.
 func (h *testHost) explain(id string) (int, schedule.Explanation) {
 	h.t.Helper()
--- a/testbed/fleet/store.go
+++ b/testbed/fleet/store.go
@@ -52,6 +52,8 @@
 	Unavailable     bool          // rejects every request with 503
 	DropNthResponse int           // drops the response to each transaction whose revision is a multiple of this; 0 for none
 	Latency         time.Duration // delays every request
+	// ListLatency delays each read of a whole prefix (one that ends with a slash), as a slow link does.
+	ListLatency time.Duration
 }
 
 const maxHistoryEvents = 5000
@@ -168,6 +170,9 @@
 	case "kv-key":
 		s.serveKey(w, r)
 	case "kv-range":
+		if strings.HasSuffix(r.URL.Query().Get("prefix"), "/") {
+			time.Sleep(faults.ListLatency)
+		}
 		s.serveRange(w, r)
 	case "kv-watch":
 		s.serveWatch(w, r)
