schedule: starts in flight are bounded, and a start is not given up before a poll

Change: the number of starts in flight follows their response time (startWindow); other tasks wait in the order of their urgency. A copy that found no free connection is sent again; a start is given up only after an answered poll that was sent later does not list its run.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -94,6 +94,7 @@
 	calls []Call
 	// anyUnreconciled is set while some upstream has not been reached since the claim.
 	anyUnreconciled bool
+	window          startWindow
 	plannedRuns     []*run                      // runs whose upstreams are being recorded before the start is sent
 	unresolvedRuns  *orderedMap[*run, struct{}] // runs with a command that may have to be sent again
 	superseded      bool                        // an upstream has seen a higher fencing token
@@ -147,6 +148,7 @@
 		Options: options,
 		jobs:    newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, durationRatios: map[string]*durationRatio{},
+		window:          startWindow{limit: initialStartWindow},
 		newestUpstreams: map[string]*upstream{}, roster: newOrderedMap[string, *upstream](),
 		evacuated: map[string]bool{}, dirty: newOrderedMap[job.ID, *jobState](),
 		unresolvedRuns: newOrderedMap[*run, struct{}](),
@@ -260,6 +262,7 @@
 type Start struct {
 	Target  platform.Target
 	Command platform.StartCommand
+	sentAt  time.Duration
 }
 
 // Stop requests the stop of a run.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -42,7 +42,7 @@
 	room := p.waiting.withRoom(usable)
 	for _, candidate := range p.waiting.list {
 		part := candidate.part
-		if len(room) == 0 && p.waiting.unbounded == 0 {
+		if len(room) == 0 && p.waiting.unbounded == 0 || !c.window.isOpen(len(c.plannedRuns)) {
 			return
 		}
 		switch {
@@ -253,7 +253,7 @@
 		if !c.mayStart(p, t) {
 			continue
 		}
-		if !p.job.team.allows(p.step.Request) {
+		if !p.job.team.allows(p.step.Request) || !c.window.isOpen(len(c.plannedRuns)) {
 			return
 		}
 		up := c.chooseUpstream(p, t, usable, room, reserved)
@@ -283,7 +283,7 @@
 	for range p.tasks {
 		total = total.Add(p.step.Request)
 	}
-	if !p.job.team.allows(total) {
+	if !p.job.team.allows(total) || !c.window.isOpen(len(c.plannedRuns)) {
 		return
 	}
 	chosen := c.chooseGang(p, usable)
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -125,7 +125,8 @@
 func (c *Core) sendStart(r *run, ticket string) {
 	r.commandInFlight = true
 	r.state = runStarting
-	c.calls = append(c.calls, Start{Target: r.up.target(), Command: platform.StartCommand{
+	c.window.inFlight++
+	c.calls = append(c.calls, Start{sentAt: c.now, Target: r.up.target(), Command: platform.StartCommand{
 		Task: r.id(), Attempt: r.attempt, Spec: r.part.job.Spec, DeadlineMS: c.extendLease(r.up), Token: c.Token,
 		Checkpoint: r.checkpoint, Ticket: ticket,
 	}})
@@ -223,10 +224,11 @@
 		}
 		switch r.state {
 		case runUnknown:
-			if r.unanswered >= maxStartAttempts {
-				c.stopRun(r, "its start got no answer")
-			} else {
+			switch {
+			case r.unanswered < maxStartAttempts:
 				c.sendStart(r, c.ticketFor(r.part, r.up))
+			case r.up.answeredSeq > r.pollSeqAtReturn:
+				c.stopRun(r, "its start got no answer")
 			}
 		case runStopping:
 			c.sendStop(r)
@@ -260,6 +262,7 @@
 
 // HandleStartResult handles the result of a Start.
 func (c *Core) HandleStartResult(start Start, clockMS int64, err error) {
+	c.window.returned(c.now, start.sentAt, err == nil)
 	r := c.commandReturned(start.Target, start.Command.Task, start.Command.Attempt, clockMS)
 	if r == nil {
 		return
@@ -272,6 +275,8 @@
 		}
 	case errors.As(err, &rejected):
 		c.startRejected(r, rejected)
+	case errors.Is(err, platform.ErrConnectionsBusy) && r.startUnresolved && r.state == runStarting:
+		c.startUnanswered(r, err) // the upstream is not at fault, and an earlier copy may have been carried out
 	case errors.Is(err, platform.ErrNotExecuted):
 		r.up.suspend(c, "no connection")
 		c.startNotExecuted(r, "start was not sent")
