schedule: pools grow for memory as for processors

Cause: demand counted processors only. Change: a request counts by the larger of its shares of a machine. Waves leave room for long-running tasks by memory too.

--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "citrongauge.example/citrongauge/job"
+
 // maxGrowth bounds the predicted load of a pool, as a multiple of what runs and waits there. The prediction averages few
 // jobs, so it exceeds the load at times; machines that are acquired then stay idle.
 const maxGrowth = 1.5
@@ -22,8 +24,18 @@
 	capacity       int64 // capacity of usable upstreams and of machines that are about to join
 	need           [tierCount]int64
 	target         int64 // planned capacity
-	machineCPU     int64 // capacity of the pool's largest machine
 	usableMachines int   // number of usable upstreams
+	// machineCPU and machineMemoryMB are the capacity of the pool's largest machine.
+	machineCPU, machineMemoryMB int64
+}
+
+// equivalentCPU returns the processors that go with the larger of a request's shares of a machine's processors and
+// memory.
+func (d *poolDemand) equivalentCPU(request job.Resources) int64 {
+	if d.machineMemoryMB <= 0 {
+		return request.MilliCPU
+	}
+	return max(request.MilliCPU, request.MemoryMB*d.machineCPU/d.machineMemoryMB)
 }
 
 func (d *poolDemand) demand() int64 {
@@ -101,18 +113,23 @@
 	for part := range p.parts.all() {
 		part.tier = c.tierOf(part)
 	}
+	for _, up := range p.byID {
+		if up.Capacity.MilliCPU > d.machineCPU {
+			d.machineCPU, d.machineMemoryMB = up.Capacity.MilliCPU, up.Capacity.MemoryMB
+		}
+	}
 	var finite int64 // used by tasks that are not long-running
-	for _, up := range p.upstreams.all() {
-		d.machineCPU = max(d.machineCPU, up.Capacity.MilliCPU)
+	for _, up := range p.byID {
 		if !c.isUsable(up) {
 			continue
 		}
 		d.capacity += up.Capacity.MilliCPU
 		d.usableMachines++
 		for _, r := range up.runs.all() {
-			d.need[r.part.tier] += r.reserved.MilliCPU
+			reserved := d.equivalentCPU(r.reserved)
+			d.need[r.part.tier] += reserved
 			if !r.part.step.LongRunning {
-				finite += r.reserved.MilliCPU
+				finite += reserved
 			}
 		}
 	}
@@ -157,7 +174,7 @@
 			byTeam.set(part.job.team, sums)
 		}
 		waiting, _ := c.countWaitingTasks(part)
-		sums[part.tier] += int64(waiting) * part.step.ReservedResources().MilliCPU
+		sums[part.tier] += int64(waiting) * d.equivalentCPU(part.step.ReservedResources())
 	}
 	for t, sums := range byTeam.all() {
 		left := max(t.cap.MilliCPU-t.used.MilliCPU, 0)
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -102,3 +102,17 @@
 	is.True(sim.servedShare("small") >= minServedShare)
 	is.True(sim.servedShare("large") >= minServedShare)
 }
+
+// Guards against tasks that wait although machines are free because their pool lacks memory, not processors. In testbed
+// run karri-sched-large scale-2 a long-running task waited for 29 s in a pool that was given one machine at a time.
+func TestPoolGrowsForMemory(t *testing.T) {
+	is := is.New(t)
+	sim := newLoadSimulation([]string{"p1", loadSpare}, []int{2, 20}, nil)
+	const tasks = 20
+	id := sim.submit(loadQueue{name: "long-running", pool: "p1", steps: []job.Step{{
+		Image: "long-running", Count: tasks, Request: job.Resources{MilliCPU: 1000, MemoryMB: loadMemoryMB / 2}, Estimate: time.Second,
+		LongRunning: true,
+	}}})
+	sim.run(3 * time.Second)
+	is.Equal(sim.running(id), tasks)
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -424,12 +424,12 @@
 	return score - up.health.penalty()
 }
 
-// longRunningCPU returns the processors of the long-running tasks on the upstream.
-func (u *upstream) longRunningCPU() int64 {
-	var sum int64
+// longRunningResources returns what the long-running tasks on the upstream take.
+func (u *upstream) longRunningResources() job.Resources {
+	var sum job.Resources
 	for _, r := range u.runs.all() {
 		if r.part.step.LongRunning {
-			sum += r.reserved.MilliCPU
+			sum = sum.Add(r.reserved)
 		}
 	}
 	return sum
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 )
 
@@ -317,20 +318,22 @@
 		return true
 	}
 	p := c.pool(up.Pool)
-	var capacity, used int64
+	var capacity, used job.Resources
 	usable := 0
 	for _, other := range p.byID {
 		if !c.isUsable(other) {
 			continue
 		}
 		usable++
-		capacity += other.Capacity.MilliCPU
-		used += other.longRunningCPU()
+		capacity = capacity.Add(other.Capacity)
+		used = used.Add(other.longRunningResources())
 	}
 	if usable <= p.minUpstreams() || usable == 1 && p.parts.len() > 0 {
 		return false
 	}
-	return up.longRunningTasks() == 0 || capacity-up.Capacity.MilliCPU >= int64((1+headroom)*float64(used))
+	left := capacity.Sub(up.Capacity)
+	return up.longRunningTasks() == 0 || float64(left.MilliCPU) >= (1+headroom)*float64(used.MilliCPU) &&
+		float64(left.MemoryMB) >= (1+headroom)*float64(used.MemoryMB)
 }
 
 // beginDrain starts to drain a machine for its upkeep.
