--- a/schedule/core.go
+++ b/schedule/core.go
@@ -38,6 +38,9 @@
 	// drained, and of all runs.
 	reviewInterval    = 50 * time.Millisecond
 	runReviewInterval = 150 * time.Millisecond
+	// maxFencing is the largest number of polls in flight to upstreams that this owner has not reached yet. Each of them
+	// also opens a connection; after a takeover of a large fleet all of them at once would time out on the owner's side.
+	maxFencing = 128
 	// takeoverMargin is added to the lease to bound how long after the claim an upstream that has not been reached
 	// may still run an earlier owner's tasks.
 	takeoverMargin = 300 * time.Millisecond
@@ -95,6 +98,7 @@
 	// anyUnreconciled is set while some upstream has not been reached since the claim.
 	anyUnreconciled bool
 	window          startWindow
+	fencing         int                         // number of polls in flight to upstreams that are not fenced
 	plannedRuns     []*run                      // runs whose upstreams are being recorded before the start is sent
 	unresolvedRuns  *orderedMap[*run, struct{}] // runs with a command that may have to be sent again
 	superseded      bool                        // an upstream has seen a higher fencing token
--- a/schedule/polls_test.go
+++ b/schedule/polls_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -79,3 +80,33 @@
 	is.True(sent >= 8)
 	is.True(sent <= 12)
 }
+
+// Guards against a new owner that polls all upstreams at once, so that it handles the responses after their timeout. In
+// testbed run karri-sched-large scale-2 polls of 477 of 823 upstreams timed out after a takeover.
+func TestTakeoverReachesUpstreamsInTurn(t *testing.T) {
+	is := is.New(t)
+	const upstreams = 1000
+	h := newHarness(t)
+	for i := range upstreams {
+		h.addUpstream(fmt.Sprintf("u-%04d", i))
+	}
+	reached := 0
+	var inFlight []schedule.Poll
+	for range 20 {
+		inFlight = append(inFlight, h.pollsOf()...)
+		is.True(len(inFlight) <= 200)
+		for i, poll := range inFlight {
+			if i%10 == 0 && reached < upstreams/2 {
+				h.core.HandlePollResult(poll, platform.PollResult{}, lostStart)
+				continue
+			}
+			reached++
+			h.answerPoll(poll, platform.PollResult{})
+		}
+		inFlight = nil
+		h.advance(200 * time.Millisecond)
+	}
+	is.Equal(reached, upstreams)
+	_, responding := h.core.UpstreamCounts()
+	is.Equal(responding, upstreams)
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -31,6 +31,7 @@
 	maxDeadline int64 // latest lease deadline in any command that may have reached the upstream
 
 	polling        bool
+	fencing        bool   // the poll in flight is counted in Core.fencing
 	pollSeq        uint64 // of the last poll that was sent
 	answeredSeq    uint64 // of the last poll that was answered
 	nextPoll       time.Duration
@@ -237,6 +238,7 @@
 
 // removeUpstream removes an upstream without runs.
 func (c *Core) removeUpstream(up *upstream) {
+	c.fencingEnded(up)
 	c.upstreams.delete(up.ID)
 	c.pool(up.Pool).removeUpstream(up)
 	c.roster.set(up.ID, nil)
@@ -290,6 +292,13 @@
 		if up.polling || up.terminated || c.now < up.pollDue() || !c.needsPoll(up) {
 			continue
 		}
+		if !up.fenced {
+			if c.fencing >= maxFencing {
+				continue
+			}
+			c.fencing++
+			up.fencing = true
+		}
 		up.polling = true
 		up.pollSeq++
 		request := platform.PollRequest{Token: c.Token, AckedSeq: up.ackable}
@@ -335,6 +344,14 @@
 	return deadline
 }
 
+// fencingEnded records that the upstream's poll no longer counts against maxFencing.
+func (c *Core) fencingEnded(up *upstream) {
+	if up.fencing {
+		up.fencing = false
+		c.fencing--
+	}
+}
+
 // HandlePollResult handles the result of a Poll.
 func (c *Core) HandlePollResult(poll Poll, result platform.PollResult, err error) {
 	up := c.upstreams.get(poll.Target.ID)
@@ -342,6 +359,7 @@
 		return
 	}
 	up.polling = false
+	c.fencingEnded(up)
 	if err != nil {
 		c.pollFailed(up, err)
 		return
