schedule: teams within their share go first

Cause: the weights of teams were read and not used: a team that sends several times its usual number of jobs took the capacity of all others, although a share is to apply when the fleet is full.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -140,8 +140,11 @@
 }
 
 type team struct {
-	cap  job.Resources
-	used job.Resources
+	weight float64
+	cap    job.Resources
+	used   job.Resources
+	// overShare is set while the team uses more than its share of what all teams use, as of the last round of sizing.
+	overShare bool
 	// reserved is what tasks may be using on upstreams that have not been reached since the claim.
 	reserved job.Resources
 }
@@ -233,6 +236,7 @@
 	}
 	for _, t := range bundle.Teams {
 		c.team(t.Name).cap = t.Cap
+		c.team(t.Name).weight = t.Weight
 	}
 	c.spare = map[string]bool{}
 	for _, p := range bundle.Pools {
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -116,3 +116,16 @@
 	sim.run(3 * time.Second)
 	is.Equal(sim.running(id), tasks)
 }
+
+// Guards against a team that takes the capacity of the others by sending more jobs than all of them.
+func TestTeamsKeepTheirShareUnderFlood(t *testing.T) {
+	is := is.New(t)
+	flood := loadQueue{name: "flood", pool: "p1", team: "flooding", steps: shortSteps("flood", 2000, 800*time.Millisecond)}
+	flood.rate = func(time.Duration) float64 { return 20 } // twice what all machines can do
+	usual := loadQueue{name: "usual", pool: "p1", team: "usual", steps: shortSteps("usual", 2000, 800*time.Millisecond)}
+	usual.rate = func(time.Duration) float64 { return 3 } // a third of what they can do, less than the share of one half
+	sim := newLoadSimulation([]string{"p1"}, []int{16}, []loadQueue{flood, usual})
+	sim.run(15 * time.Second)
+	t.Logf("served: flood %.2f of %d, usual %.2f of %d", sim.servedShare("flood"), sim.submitted["flood"], sim.servedShare("usual"), sim.submitted["usual"])
+	is.True(sim.servedShare("usual") >= minServedShare)
+}
--- a/schedule/loadsim_test.go
+++ b/schedule/loadsim_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -91,6 +92,7 @@
 // loadQueue is a queue whose jobs arrive by a demand pattern.
 type loadQueue struct {
 	name, pool string
+	team       string // empty: testTeam
 	steps      []job.Step
 	// rate returns the jobs per second at a time after the start of the load.
 	rate func(at time.Duration) float64
@@ -124,6 +126,9 @@
 	bundle := &platform.Bundle{Version: 1, Revision: 1, Teams: []platform.BundleTeam{{Name: testTeam, Weight: 1}}}
 	for _, queue := range queues {
 		bundle.Queues = append(bundle.Queues, platform.BundleQueue{Queue: queue.job()})
+		if queue.team != "" {
+			bundle.Teams = append(bundle.Teams, platform.BundleTeam{Name: queue.team, Weight: 1})
+		}
 	}
 	for i, pool := range pools {
 		bundle.Pools = append(bundle.Pools, platform.BundlePool{Name: pool, Spare: pool == loadSpare})
@@ -186,7 +191,7 @@
 	sim.submitted[q.name]++
 	sim.objectives[id] = sim.now + loadObjective(q.steps)
 	sim.core.AddJob(&job.Job{
-		ID: id, Team: testTeam, Queue: q.job(), Spec: "s", Steps: q.steps, AcceptedMS: sim.now.Milliseconds(),
+		ID: id, Team: cmp.Or(q.team, testTeam), Queue: q.job(), Spec: "s", Steps: q.steps, AcceptedMS: sim.now.Milliseconds(),
 	}, uint64(100+sim.nextJob), false, nil, false)
 	return id
 }
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -100,6 +100,7 @@
 	c.advanceMoves()
 	c.markExpiredCommands()
 	c.movable = c.findMovable()
+	c.compareShares()
 	demands := c.demands()
 	planTargets(demands, c.totalCapacity(demands))
 	slices.SortFunc(demands, func(a, b *poolDemand) int {
--- a/schedule/waiting.go
+++ b/schedule/waiting.go
@@ -29,6 +29,7 @@
 type candidate struct {
 	part       *part
 	starving   bool // a long-running task has waited for longer than starvedAfter
+	overShare  bool // the job's team uses more than its share; long-running parts excepted
 	priority   int
 	timeliness int
 	jobWork    float64 // core-milliseconds that the job still needs
@@ -90,7 +91,8 @@
 	if p.step.LongRunning {
 		_, starving = c.countWaitingTasks(p)
 	}
-	return candidate{p, starving, p.job.Queue.Priority, c.timeliness(p), c.remainingWork(p.job)}
+	overShare := p.job.team.overShare && !p.step.LongRunning
+	return candidate{p, starving, overShare, p.job.Queue.Priority, c.timeliness(p), c.remainingWork(p.job)}
 }
 
 func (w *waitingParts) append(added candidate) {
@@ -125,13 +127,14 @@
 	return room
 }
 
-// compare orders candidates: long-running tasks before others, since they earn as long as they run, and parts that
+// compare orders candidates: work of the same urgency by whether its team is within its share, long-running tasks before others, since they earn as long as they run, and parts that
 // require a label before others, since they can run on few upstreams.
 func (a candidate) compare(b candidate) int {
 	return cmp.Or(
 		cmp.Compare(rank(!a.starving), rank(!b.starving)),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.timeliness, b.timeliness),
+		cmp.Compare(rank(a.overShare), rank(b.overShare)),
 		cmp.Compare(rank(!a.part.step.LongRunning), rank(!b.part.step.LongRunning)),
 		cmp.Compare(rank(a.part.step.Label == ""), rank(b.part.step.Label == "")),
 		cmp.Compare(a.jobWork, b.jobWork),
