schedule: waves leave room in pools with few upstreams and go on while drains are slow

Change: the reserve is added after the maximum; drains older than 2 s do not count against the pace of the wave.

--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -139,11 +139,11 @@
 	present := d.need[tierOnTime] + d.need[tierLate] + d.need[tierTooLate]
 	predicted := min(p.offeredLoad(c.now), int64(maxGrowth*float64(present)))
 	d.need[tierOnTime] = max(d.need[tierOnTime], predicted-late)
-	d.need[tierLongRunning] += int64(c.upkeepReserve(p)) * d.machineCPU
 	for t := range d.need {
 		d.need[t] = int64((1 + headroom) * float64(d.need[t]))
 	}
 	d.need[tierLongRunning] = max(d.need[tierLongRunning], int64(p.minUpstreams())*d.machineCPU)
+	d.need[tierLongRunning] += int64(c.upkeepReserve(p)) * d.machineCPU
 	return d
 }
 
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -129,3 +129,21 @@
 	t.Logf("served: flood %.2f of %d, usual %.2f of %d", sim.servedShare("flood"), sim.submitted["flood"], sim.servedShare("usual"), sim.submitted["usual"])
 	is.True(sim.servedShare("usual") >= minServedShare)
 }
+
+// Guards against a wave that waits for machines whose long-running tasks can stop only one at a time, instead of
+// draining others meanwhile. In testbed run karri-sched-large quiet-1 a wave was done 0.7 s before its limit, once after.
+func TestSlowDrainsDoNotHoldUpWave(t *testing.T) {
+	is := is.New(t)
+	busy := loadQueue{name: "busy", pool: "p2", steps: shortSteps("busy", 2000, 800*time.Millisecond)}
+	busy.rate = func(time.Duration) float64 { return 20 }
+	sim := newLoadSimulation([]string{"p1", "p2"}, []int{14, 40}, []loadQueue{busy})
+	sim.submitLongRunning("p1", 12, 1)
+	sim.run(3 * time.Second)
+	const limit = 25 * time.Second
+	sim.beginWave(limit, 20, "p1", "p2")
+	sim.run(limit / 2)
+	t.Logf("%d upkeeps", sim.upkeeps)
+	is.True(sim.upkeeps >= len(sim.machines)/2)
+	sim.run(limit / 2)
+	is.True(!sim.core.HasOpenWaves())
+}
--- a/schedule/loadsim_test.go
+++ b/schedule/loadsim_test.go
@@ -33,6 +33,7 @@
 	submitted  map[string]int
 	objectives map[job.ID]time.Duration
 	moves      int
+	upkeeps    int
 	starts     int
 }
 
@@ -403,6 +404,7 @@
 		sim.after(loadRoundTrip/2, func() { sim.core.HandleUpkeepResult(call, platform.ErrMachineBusy) })
 		return
 	}
+	sim.upkeeps++
 	sim.terminate(m, platform.MachineUpkeep, loadBounds.UpkeepDuration)
 	sim.after(loadRoundTrip/2, func() { sim.core.HandleUpkeepResult(call, nil) })
 }
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -50,6 +50,7 @@
 	upkeepOverhead = 600 * time.Millisecond
 	// drainTimeout is how long the runs on a machine may take to end by themselves before they are stopped.
 	drainTimeout        = 1500 * time.Millisecond
+	stuckDrain          = 2 * time.Second
 	upkeepRetryDelay    = 300 * time.Millisecond
 	rejectedUpkeepDelay = time.Second
 	holderMargin        = 300 * time.Millisecond // added to the platform's pause between holders
@@ -262,7 +263,9 @@
 			waiting = append(waiting, m)
 		}
 	}
-	need := c.requiredConcurrency(w) - w.count(machineDraining) - c.countMachinesDown(w, nil)
+	draining, stuck := c.countDraining(w)
+	need := c.requiredConcurrency(w) - draining - c.countMachinesDown(w, nil)
+	need = min(need, w.MaxConcurrent-draining-stuck)
 	if need <= 0 {
 		return
 	}
@@ -275,7 +278,7 @@
 		return cmp.Or(cmp.Compare(cost[a], cost[b]), cmp.Compare(a.name, b.name))
 	})
 	for _, m := range waiting {
-		if need == 0 {
+		if need <= 0 {
 			return
 		}
 		if c.mayDrain(m) {
@@ -336,6 +339,21 @@
 		float64(left.MemoryMB) >= (1+headroom)*float64(used.MemoryMB)
 }
 
+// countDraining returns how many machines of the wave are being drained, and apart from them how many have been for so
+// long that others have to be drained meanwhile: their long-running tasks may stop only a few at a time.
+func (c *Core) countDraining(w *wave) (draining, stuck int) {
+	for _, m := range w.machines.all() {
+		switch {
+		case m.state != machineDraining:
+		case c.now > m.since+stuckDrain:
+			stuck++
+		default:
+			draining++
+		}
+	}
+	return draining, stuck
+}
+
 // beginDrain starts to drain a machine for its upkeep.
 func (c *Core) beginDrain(w *wave, m *waveMachine) {
 	m.state, m.since = machineDraining, c.now
