owner: the machine list is read more often from the start of a wave

Cause: the next read of the list was set when the last one ended, 8 s later while no wave was open. Change: the interval that applies now decides when the list is due.

--- a/owner/session.go
+++ b/owner/session.go
@@ -76,7 +76,8 @@
 	operatorState    *operator.State
 	storedWaves      map[int]schedule.WaveRecord
 	listing          bool
-	nextList         time.Duration
+	lastList         time.Duration // when the machine list was read last
+	listFailed       bool          // the last read of the machine list failed
 }
 
 func newSession(o *Owner, ownership *ledger.Ownership, lease *leaseKeeper) *session {
@@ -261,20 +262,26 @@
 	return func(s *session) { s.core.HandleAdviceResult(request, tickets, err) }
 }
 
+// listDue reports whether the machine list is to be read. The shorter interval applies at once when a wave begins:
+// machines of the spare pool are known to be back from their upkeep only from the list.
+func (s *session) listDue(now time.Duration) bool {
+	interval := idleListInterval
+	if s.core.HasOpenWaves() || s.listFailed {
+		interval = listInterval
+	}
+	return s.lastList == 0 || now >= s.lastList+interval
+}
+
 // listMachines reads the machine list in a new goroutine when it is due, more often while a wave is open.
 func (s *session) listMachines(ctx context.Context) {
-	now := clock.Now()
-	if s.Machines == nil || s.listing || now < s.nextList {
+	if s.Machines == nil || s.listing || !s.listDue(clock.Now()) {
 		return
 	}
 	s.listing = true
 	go func() {
 		machines, err := s.Machines.List(ctx, machineTimeout)
 		s.post(ctx, func(s *session) {
-			s.listing, s.nextList = false, clock.Now()+idleListInterval
-			if s.core.HasOpenWaves() || err != nil {
-				s.nextList = clock.Now() + listInterval
-			}
+			s.listing, s.lastList, s.listFailed = false, clock.Now(), err != nil
 			if err != nil {
 				s.Log("reading the machine list failed", "error", err.Error())
 				return
