--- a/owner/load.go
+++ b/owner/load.go
@@ -101,7 +101,7 @@
 func (s *session) setUpstreams(items []platform.Item) {
 	present := map[string]bool{}
 	for _, item := range items {
-		present[item.Key[len(platform.UpstreamPrefix):]] = true
+		present[platform.UpstreamID(item.Key)] = true
 		s.setUpstream(item)
 	}
 	for _, id := range s.core.ListedUpstreams() {
@@ -115,7 +115,7 @@
 	entry, err := platform.DecodeUpstream(item)
 	if err != nil {
 		s.Log("unreadable upstream entry", "key", item.Key, "revision", item.Revision, "error", err.Error())
-		s.core.UnlistUpstream(item.Key[len(platform.UpstreamPrefix):])
+		s.core.UnlistUpstream(platform.UpstreamID(item.Key))
 		return
 	}
 	s.core.SetUpstream(entry)
@@ -124,7 +124,7 @@
 func (s *session) handleUpstreamEvents(events []platform.Event) {
 	for _, event := range events {
 		if event.Deleted {
-			s.core.UnlistUpstream(event.Key[len(platform.UpstreamPrefix):])
+			s.core.UnlistUpstream(platform.UpstreamID(event.Key))
 		} else {
 			s.setUpstream(event.Item)
 		}
--- a/owner/session.go
+++ b/owner/session.go
@@ -207,9 +207,13 @@
 	s.core.SetEvacuated(state.Evacuated)
 }
 
-// send makes a call for the core in a new goroutine and posts its result to the event loop.
+// send makes a call for the core in a new goroutine and posts its result to the event loop. The process may have been
+// paused since the decision, so a call whose lease has expired meanwhile is dropped.
 func (s *session) send(ctx context.Context, call schedule.Call) {
 	go func() {
+		if !s.lease.valid() {
+			return
+		}
 		if event := s.execute(ctx, call); event != nil {
 			s.post(ctx, event)
 		}
--- a/schedule/upstreams_test.go
+++ b/schedule/upstreams_test.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
+	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/schedule"
 )
@@ -101,3 +102,29 @@
 	}
 	is.Equal(closed, []schedule.CloseConnections{{Address: "u-1:1"}})
 }
+
+// Guards against the use of an upstream that has left: after a takeover it is still in the stored roster and may still
+// answer polls, but it has no entry in the store any more.
+func TestUpstreamThatHasLeftIsNotUsedAfterTakeover(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.core.InheritUpstream(platform.Upstream{
+		ID: "u-left", Pool: testPool, Address: "u-left:1", Zone: "a", StartedMS: 1, Capacity: job.Resources{MilliCPU: 16000, MemoryMB: 64000},
+	})
+	h.fenceAll(platform.PollResult{})
+	h.addUniformJob(1, 2, 1000)
+	for range 40 {
+		c := h.decide()
+		is.Equal(len(c.starts), 0)
+		h.answerAll(c, nil)
+		h.advance(200 * time.Millisecond)
+	}
+	h.addUpstream("u-1")
+	for _, poll := range h.decide().polls {
+		h.answerPoll(poll, platform.PollResult{})
+	}
+	h.advance(100 * time.Millisecond)
+	starts := h.decide().starts
+	is.Equal(len(starts), 2)
+	is.Equal(starts[0].Target.ID, "u-1")
+}
