--- a/schedule/core.go
+++ b/schedule/core.go
@@ -201,6 +201,7 @@
 	return p
 }
 
+// has reports whether the part is released in the pool and not done.
 func (p *pool) has(part *part) bool {
 	_, ok := p.parts.lookup(part)
 	return ok
--- a/schedule/movable.go
+++ b/schedule/movable.go
@@ -28,7 +28,7 @@
 	for _, p := range c.pools.all() {
 		for _, up := range p.byID {
 			switch {
-			case up.released && !c.mayStayReleased(up):
+			case up.released && (!c.isInService(up) || !c.isMovable(up.Machine)):
 				up.released = false
 			case up.released:
 				m.released = append(m.released, up)
@@ -40,16 +40,9 @@
 	return m
 }
 
-func (c *Core) mayStayReleased(up *upstream) bool {
-	up.released = false
-	usable := c.isUsable(up)
-	up.released = true
-	return usable && c.isMovable(up.Machine)
-}
-
 // mayLeave reports whether the upstream's machine may move to another pool once it has no runs.
 func (c *Core) mayLeave(up *upstream) bool {
-	stay := time.Duration(minStays) * c.Bounds.MoveDuration
+	stay := time.Duration(minStayFactor) * c.Bounds.MoveDuration
 	return up.Machine != "" && c.isUsable(up) && c.isMovable(up.Machine) && c.now >= up.addedAt+stay
 }
 
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -161,9 +161,14 @@
 	return usable
 }
 
-func (c *Core) isUsable(up *upstream) bool {
+// isUsable reports whether tasks may start on the upstream.
+func (c *Core) isUsable(up *upstream) bool { return !up.released && c.isInService(up) }
+
+// isInService reports whether tasks could start on the upstream, even if it takes no new ones because its machine is to
+// move to another pool.
+func (c *Core) isInService(up *upstream) bool {
 	return up.listed && up.fenced && up.stored && !up.terminated && !up.Draining && up.failedPolls == 0 && up.unknownRuns == 0 &&
-		!c.evacuated[up.Zone] && !up.cordoned && !up.released && !up.health.isExcluded(c.now)
+		!c.evacuated[up.Zone] && !up.cordoned && !up.health.isExcluded(c.now)
 }
 
 func (p *pool) hasUnreconciled() bool {
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -1,5 +1,10 @@
 package schedule
 
+import (
+	"maps"
+	"slices"
+)
+
 // Shares apply when the machines do not suffice for all waiting tasks: of tasks of the same priority and timeliness,
 // those of teams that use less than their share go first.
 //
@@ -13,7 +18,8 @@
 func (c *Core) compareShares() {
 	var used int64
 	weights := 0.0
-	for _, t := range c.teams {
+	for _, name := range slices.Sorted(maps.Keys(c.teams)) { // sorted, so that the sum is always the same
+		t := c.teams[name]
 		if t.used.MilliCPU > 0 {
 			used += t.used.MilliCPU
 			weights += t.weight
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -17,8 +17,8 @@
 	demandWindow = 800 * time.Millisecond
 	// headroom is the fraction by which a pool's capacity should exceed its demand.
 	headroom = 0.1
-	// minStays is how many times the duration of a move a machine stays in a pool before it may move to another pool.
-	minStays = 2
+	// minStayFactor is how many times the duration of a move a machine stays in a pool before it may move to another.
+	minStayFactor = 2
 	// donorReserve is the number of machines beyond its demand that a pool keeps when another pool needs machines.
 	donorReserve = 1
 	// surplusReserve is the number of machines beyond its demand that a pool keeps when no other pool needs them. After
