--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -25,6 +25,7 @@
 	need           [tierCount]int64
 	target         int64 // planned capacity
 	usableMachines int   // number of usable upstreams
+	starved        int   // long-running tasks that have waited for longer than starvedAfter
 	// machineCPU and machineMemoryMB are the capacity of the pool's largest machine.
 	machineCPU, machineMemoryMB int64
 }
@@ -46,10 +47,11 @@
 	return sum
 }
 
-// surplus returns the number of machines that the pool can give to others.
-func (d *poolDemand) surplus() int64 {
-	return max((d.capacity-d.target)/max(d.machineCPU, 1)-donorReserve, 0)
-}
+// excess returns the number of machines that the pool has beyond its target.
+func (d *poolDemand) excess() int64 { return max((d.capacity-d.target)/max(d.machineCPU, 1), 0) }
+
+// surplus returns the number of idle machines that the pool can give to others.
+func (d *poolDemand) surplus() int64 { return max(d.excess()-donorReserve, 0) }
 
 // urgentShortage returns the processors that the pool lacks for long-running tasks and for work that can be on time.
 func (d *poolDemand) urgentShortage() int64 {
@@ -119,12 +121,14 @@
 		}
 	}
 	var finite int64 // used by tasks that are not long-running
+	idle := false    // a usable upstream has no runs
 	for _, up := range p.byID {
 		if !c.isUsable(up) {
 			continue
 		}
 		d.capacity += up.Capacity.MilliCPU
 		d.usableMachines++
+		idle = idle || up.runs.len() == 0
 		for _, r := range up.runs.all() {
 			reserved := d.equivalentCPU(r.reserved)
 			d.need[r.part.tier] += reserved
@@ -133,6 +137,7 @@
 			}
 		}
 	}
+	usable := d.capacity
 	d.capacity += int64(c.machinesJoining(p)) * d.machineCPU
 	late := finite - d.need[tierOnTime]
 	c.addWaiting(d)
@@ -144,6 +149,10 @@
 	}
 	d.need[tierLongRunning] = max(d.need[tierLongRunning], int64(p.minUpstreams())*d.machineCPU)
 	d.need[tierLongRunning] += int64(c.upkeepReserve(p)) * d.machineCPU
+	if d.starved > 0 && !idle {
+		// They fit on none of the usable upstreams, whose free capacity may be scattered.
+		d.need[tierLongRunning] = max(d.need[tierLongRunning], usable+int64(d.starved)*d.machineCPU)
+	}
 	return d
 }
 
@@ -173,8 +182,11 @@
 			sums = new([tierCount]int64)
 			byTeam.set(part.job.team, sums)
 		}
-		waiting, _ := c.countWaitingTasks(part)
+		waiting, starved := c.countWaitingTasks(part)
 		sums[part.tier] += int64(waiting) * d.equivalentCPU(part.step.ReservedResources())
+		if starved && part.step.LongRunning && !part.job.Queue.NeedsAdvice && part.job.team.allows(part.step.Request) {
+			d.starved += waiting
+		}
 	}
 	for t, sums := range byTeam.all() {
 		left := max(t.cap.MilliCPU-t.used.MilliCPU, 0)
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -247,7 +247,7 @@
 func (c *Core) removeFromPool(p *part) {
 	if p.inPool {
 		c.pool(p.job.Queue.Pool).parts.delete(p)
-		p.inPool = false
+		p.inPool, p.queued = false, false
 	}
 }
 
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -147,3 +147,24 @@
 	sim.run(limit / 2)
 	is.True(!sim.core.HasOpenWaves())
 }
+
+// Guards against a long-running task that fits on no upstream of its pool, because what is free is spread over all of
+// them, while other pools use all other machines. In testbed run karri-sched-large hunt-ee15-3 one was not started for
+// 13 s (LOST).
+func TestScatteredCapacityDoesNotStarveLongRunningTasks(t *testing.T) {
+	is := is.New(t)
+	flood := loadQueue{name: "flood", pool: "p2", steps: shortSteps("flood", 2000, 800*time.Millisecond)}
+	flood.rate = func(time.Duration) float64 { return 30 } // more than all machines can do
+	sim := newLoadSimulation([]string{"p1", "p2"}, []int{6, 20}, []loadQueue{flood})
+	longRunning := func(tasks int, memoryMB int64) job.ID {
+		return sim.submit(loadQueue{name: "long-running", pool: "p1", steps: []job.Step{{
+			Image: "long-running", Count: tasks, Request: job.Resources{MilliCPU: 500, MemoryMB: memoryMB}, Estimate: time.Second,
+			LongRunning: true, MaxPerUpstream: 1,
+		}}})
+	}
+	longRunning(6, loadMemoryMB*5/8)
+	sim.run(3 * time.Second)
+	id := longRunning(2, loadMemoryMB/2)
+	sim.run(6 * time.Second) // after which the users' rule applies
+	is.Equal(sim.running(id), 2)
+}
--- a/schedule/movable.go
+++ b/schedule/movable.go
@@ -98,7 +98,7 @@
 	for i := len(demands) - 1; i >= 0 && lacking > 0; i-- {
 		donor := demands[i]
 		for _, up := range c.leastBusy(donor) {
-			if lacking <= 0 || donor.surplus() <= 0 {
+			if lacking <= 0 || donor.excess() <= 0 {
 				break
 			}
 			up.released = true
@@ -112,7 +112,7 @@
 
 // leastBusy returns the pool's upstreams that can be released, least used first. Long-running tasks keep their places.
 func (c *Core) leastBusy(d *poolDemand) []*upstream {
-	if d.surplus() <= 0 {
+	if d.excess() <= 0 {
 		return nil
 	}
 	var found []*upstream
