--- a/owner/session.go
+++ b/owner/session.go
@@ -18,7 +18,7 @@
 	tickInterval = 50 * time.Millisecond
 	// The pause after a decision is decisionPauseFactor times its duration, but at least minDecisionPause and at most
 	// maxDecisionPause.
-	decisionPauseFactor = 3
+	decisionPauseFactor = 10
 	minDecisionPause    = time.Millisecond
 	maxDecisionPause    = 25 * time.Millisecond
 	// storeInterval is the shortest time between two writes of progress. It batches tasks that end close together.
@@ -128,7 +128,12 @@
 // pauseAfterDecision sleeps in proportion to the duration of the last decision, so that under load one decision covers
 // many events. A decision for a large fleet takes milliseconds.
 func pauseAfterDecision(ctx context.Context, took time.Duration) {
-	clock.Sleep(ctx, min(max(decisionPauseFactor*took, minDecisionPause), maxDecisionPause))
+	clock.Sleep(ctx, decisionPause(took))
+}
+
+// decisionPause returns the pause after a decision that took the given time.
+func decisionPause(took time.Duration) time.Duration {
+	return min(max(decisionPauseFactor*took, minDecisionPause), maxDecisionPause)
 }
 
 // handleQueuedEvents handles all queued events without blocking, so that one decision covers them all.
--- a/owner/session_test.go
+++ b/owner/session_test.go
@@ -68,3 +68,14 @@
 	}
 	is.Equal(requests.Load(), int32(len(calls)))
 }
+
+// Guards against decisions that take the processor time of the calls to upstreams: on a large fleet each takes up to
+// some milliseconds, and 300 a second took a quarter of the owner's time.
+func TestDecisionsTakeATenthOfTheTime(t *testing.T) {
+	is := is.New(t)
+	for took := 100 * time.Microsecond; took <= maxDecisionPause/10; took += 100 * time.Microsecond {
+		is.True(took*9 <= decisionPause(took))
+	}
+	is.Equal(decisionPause(time.Microsecond), minDecisionPause)
+	is.Equal(decisionPause(time.Second), maxDecisionPause) // new work waits no longer than that
+}
