--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -120,26 +120,10 @@
 			d.machineCPU, d.machineMemoryMB = up.Capacity.MilliCPU, up.Capacity.MemoryMB
 		}
 	}
-	var finite int64 // used by tasks that are not long-running
-	idle := false    // a usable upstream has no runs
-	for _, up := range p.byID {
-		if !c.isUsable(up) {
-			continue
-		}
-		d.capacity += up.Capacity.MilliCPU
-		d.usableMachines++
-		idle = idle || up.runs.len() == 0
-		for _, r := range up.runs.all() {
-			reserved := d.equivalentCPU(r.reserved)
-			d.need[r.part.tier] += reserved
-			if !r.part.step.LongRunning {
-				finite += reserved
-			}
-		}
-	}
+	idle := c.addUse(d)
 	usable := d.capacity
 	d.capacity += int64(c.machinesJoining(p)) * d.machineCPU
-	late := finite - d.need[tierOnTime]
+	late := d.need[tierLate] + d.need[tierTooLate]
 	c.addWaiting(d)
 	present := d.need[tierOnTime] + d.need[tierLate] + d.need[tierTooLate]
 	predicted := min(p.offeredLoad(c.now), int64(maxGrowth*float64(present)))
@@ -156,6 +140,22 @@
 	return d
 }
 
+// addUse adds the capacity of the pool's usable upstreams and what runs there. It reports whether one of them is idle.
+func (c *Core) addUse(d *poolDemand) (idle bool) {
+	for _, up := range d.pool.byID {
+		if !c.isUsable(up) {
+			continue
+		}
+		d.capacity += up.Capacity.MilliCPU
+		d.usableMachines++
+		idle = idle || up.runs.len() == 0
+		for _, r := range up.runs.all() {
+			d.need[r.part.tier] += d.equivalentCPU(r.reserved)
+		}
+	}
+	return idle
+}
+
 func (c *Core) tierOf(p *part) tier {
 	if p.step.LongRunning {
 		return tierLongRunning
