schedule: urgent work of all pools before late work of any

Cause: the number of starts in flight is limited for all pools together, but pools were placed one after the other: on a slow owner the late backlog of one pool took all starts before the next pool placed work that could be on time. Change: all pools place their lists up to the first late candidate, then the rest.

--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -168,3 +168,18 @@
 	sim.run(6 * time.Second) // after which the users' rule applies
 	is.Equal(sim.running(id), 2)
 }
+
+// Guards against late work of one pool that takes all starts of a slow owner before other pools place work that can be
+// on time.
+func TestSlowOwnerStartsUrgentWorkOfAllPoolsFirst(t *testing.T) {
+	is := is.New(t)
+	late := loadQueue{name: "late", pool: "p1", steps: shortSteps("late", 500, 800*time.Millisecond)}
+	late.rate = turns(40, 0, 3*time.Second)
+	usual := loadQueue{name: "usual", pool: "p2", steps: shortSteps("usual", 500, 800*time.Millisecond)[:1]}
+	usual.rate = func(time.Duration) float64 { return 1 }
+	sim := newLoadSimulation([]string{"p1", "p2"}, []int{40, 10}, []loadQueue{late, usual})
+	sim.roundTrip = 200 * time.Millisecond // the owner is late
+	sim.run(20 * time.Second)
+	t.Logf("late %.2f of %d, usual %.2f of %d", sim.servedShare("late"), sim.submitted["late"], sim.servedShare("usual"), sim.submitted["usual"])
+	is.True(sim.servedShare("usual") >= minServedShare)
+}
--- a/schedule/loadsim_test.go
+++ b/schedule/loadsim_test.go
@@ -18,9 +18,11 @@
 type loadSimulation struct {
 	core   *schedule.Core
 	random *rand.Rand
-	now    time.Duration
-	events eventHeap
-	number int // of the last event, for a stable order
+	// roundTrip is the time from a call until the core handles its response.
+	roundTrip time.Duration
+	now       time.Duration
+	events    eventHeap
+	number    int // of the last event, for a stable order
 
 	machines  []*loadMachine
 	upstreams map[string]*loadUpstream // by ID
@@ -116,7 +118,7 @@
 // newLoadSimulation returns a simulation with the given numbers of machines by pool, all reached by the owner.
 func newLoadSimulation(pools []string, machines []int, queues []loadQueue) *loadSimulation {
 	sim := &loadSimulation{
-		random: rand.New(rand.NewPCG(1, 2)), now: time.Hour, upstreams: map[string]*loadUpstream{}, steps: map[job.ID][]job.Step{},
+		random: rand.New(rand.NewPCG(1, 2)), now: time.Hour, roundTrip: loadRoundTrip, upstreams: map[string]*loadUpstream{}, steps: map[job.ID][]job.Step{},
 		served: map[string]int{}, submitted: map[string]int{}, objectives: map[job.ID]time.Duration{},
 	}
 	sim.core = schedule.New(schedule.Options{
@@ -275,7 +277,7 @@
 func (sim *loadSimulation) queueOf(id job.ID) string { return sim.steps[id][0].Image }
 
 func (sim *loadSimulation) execute(call schedule.Call) {
-	half := loadRoundTrip / 2
+	half := sim.roundTrip / 2
 	switch call := call.(type) {
 	case schedule.Start:
 		sim.starts++
@@ -295,7 +297,7 @@
 func (sim *loadSimulation) start(call schedule.Start) {
 	u := sim.upstreams[call.Target.ID]
 	if u == nil || u.dead {
-		sim.after(loadRoundTrip, func() { sim.core.HandleStartResult(call, 0, platform.ErrOutcomeUnknown) })
+		sim.after(sim.roundTrip, func() { sim.core.HandleStartResult(call, 0, platform.ErrOutcomeUnknown) })
 		return
 	}
 	step := &sim.steps[call.Command.Task.Job][call.Command.Task.Step]
@@ -305,7 +307,7 @@
 		took := time.Duration((0.5 + sim.random.Float64()) * float64(step.Estimate))
 		sim.after(took, func() { sim.end(u, r, platform.EndDone) })
 	}
-	sim.after(loadRoundTrip/2, func() { sim.core.HandleStartResult(call, sim.now.Milliseconds(), nil) })
+	sim.after(sim.roundTrip/2, func() { sim.core.HandleStartResult(call, sim.now.Milliseconds(), nil) })
 }
 
 func (sim *loadSimulation) stop(call schedule.Stop) {
@@ -318,7 +320,7 @@
 			sim.after(loadBounds.StopTimeout/2, func() { sim.end(u, r, platform.EndStopped) })
 		}
 	}
-	sim.after(loadRoundTrip/2, func() { sim.core.HandleStopResult(call, sim.now.Milliseconds(), nil) })
+	sim.after(sim.roundTrip/2, func() { sim.core.HandleStopResult(call, sim.now.Milliseconds(), nil) })
 }
 
 func (sim *loadSimulation) end(u *loadUpstream, r *loadRun, kind platform.EndKind) {
@@ -368,7 +370,7 @@
 		}
 		result.Running = append(result.Running, platform.CurrentRun{Task: r.task, Attempt: r.attempt, Percent: percent})
 	}
-	sim.after(loadRoundTrip/2, func() { sim.core.HandlePollResult(call, result, nil) })
+	sim.after(sim.roundTrip/2, func() { sim.core.HandlePollResult(call, result, nil) })
 }
 
 func (sim *loadSimulation) machine(name string) *loadMachine {
@@ -389,23 +391,23 @@
 func (sim *loadSimulation) move(call schedule.Move) {
 	m := sim.machine(call.Machine)
 	if m.phase != platform.MachineUp {
-		sim.after(loadRoundTrip/2, func() { sim.core.HandleMoveResult(call, platform.ErrMachineBusy) })
+		sim.after(sim.roundTrip/2, func() { sim.core.HandleMoveResult(call, platform.ErrMachineBusy) })
 		return
 	}
 	m.pool = call.Pool
 	sim.terminate(m, platform.MachineMoving, loadBounds.MoveDuration)
-	sim.after(loadRoundTrip/2, func() { sim.core.HandleMoveResult(call, nil) })
+	sim.after(sim.roundTrip/2, func() { sim.core.HandleMoveResult(call, nil) })
 }
 
 func (sim *loadSimulation) upkeep(call schedule.Upkeep) {
 	m := sim.machine(call.Machine)
 	if m.phase != platform.MachineUp {
-		sim.after(loadRoundTrip/2, func() { sim.core.HandleUpkeepResult(call, platform.ErrMachineBusy) })
+		sim.after(sim.roundTrip/2, func() { sim.core.HandleUpkeepResult(call, platform.ErrMachineBusy) })
 		return
 	}
 	sim.upkeeps++
 	sim.terminate(m, platform.MachineUpkeep, loadBounds.UpkeepDuration)
-	sim.after(loadRoundTrip/2, func() { sim.core.HandleUpkeepResult(call, nil) })
+	sim.after(sim.roundTrip/2, func() { sim.core.HandleUpkeepResult(call, nil) })
 }
 
 // running returns how many tasks of a job are running.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -24,39 +24,62 @@
 		return
 	}
 	c.reserveUnseen()
+	var waiting []*placement
 	for _, p := range c.pools.all() {
 		if p.parts.len() > 0 {
-			c.placePool(p)
+			c.sortWaiting(p)
+			waiting = append(waiting, c.newPlacement(p))
 		}
 	}
+	for _, pl := range waiting {
+		pl.placeUntil(c, late)
+	}
+	for _, pl := range waiting {
+		pl.placeUntil(c, tooLate+1)
+		c.reportBacklog(pl.pool, len(pl.usable))
+	}
+}
+
+// placement is the state of one pool while its waiting tasks are placed. All pools place what can be on time before one
+// of them places late work, because the number of starts in flight is limited for all pools together.
+type placement struct {
+	pool   *pool
+	usable []*upstream
+	room   []*upstream // usable upstreams on which the smallest request fits
+	next   int         // index of the next candidate in the pool's list
 }
 
-func (c *Core) placePool(p *pool) {
+func (c *Core) newPlacement(p *pool) *placement {
 	usable := c.usable(p)
-	defer c.reportBacklog(p, len(usable))
-	if len(usable) == 0 {
-		return
-	}
-	c.sortWaiting(p)
-	c.wantedLabels = p.waiting.labels
-	room := p.waiting.withRoom(usable)
-	for _, candidate := range p.waiting.list {
-		part := candidate.part
-		if len(room) == 0 && p.waiting.unbounded == 0 || !c.window.isOpen(len(c.plannedRuns)) {
+	return &placement{pool: p, usable: usable, room: p.waiting.withRoom(usable)}
+}
+
+// placeUntil places the candidates in their order up to the first one that is at least as late as the given class.
+func (pl *placement) placeUntil(c *Core, timeliness int) {
+	w := &pl.pool.waiting
+	c.wantedLabels = w.labels
+	for ; pl.next < len(w.list) && len(pl.usable) > 0; pl.next++ {
+		candidate := w.list[pl.next]
+		if candidate.timeliness >= timeliness || len(pl.room) == 0 && w.unbounded == 0 || !c.window.isOpen(len(c.plannedRuns)) {
 			return
 		}
-		switch {
-		case !p.has(part): // its job has ended or its queue has moved to another pool
-		case part.step.Gang:
-			c.placeGang(part, usable)
-		case part.step.BestEffort:
-			c.placeTasks(part, usable, usable)
-		case len(room) > 0:
-			c.placeTasks(part, usable, room)
-			room = p.waiting.withRoom(room)
-			if candidate.starving {
-				room = c.reserveFor(part, room)
-			}
+		pl.place(c, candidate)
+	}
+}
+
+func (pl *placement) place(c *Core, candidate candidate) {
+	part := candidate.part
+	switch {
+	case !pl.pool.has(part): // its job has ended or its queue has moved to another pool
+	case part.step.Gang:
+		c.placeGang(part, pl.usable)
+	case part.step.BestEffort:
+		c.placeTasks(part, pl.usable, pl.usable)
+	case len(pl.room) > 0:
+		c.placeTasks(part, pl.usable, pl.room)
+		pl.room = pl.pool.waiting.withRoom(pl.room)
+		if candidate.starving {
+			pl.room = c.reserveFor(part, pl.room)
 		}
 	}
 }
