--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -177,6 +177,7 @@
 grace_s = 6
 drain_ms = 2000
 downgrade_slack_ms = 250
+config_apply_ms = 2000
 contact_ms = 3000
 status_s = 120
 early_ms = 250
--- a/testbed/fleet/store.go
+++ b/testbed/fleet/store.go
@@ -54,6 +54,8 @@
 	Latency         time.Duration // delays every request
 	// ListLatency delays each read of a whole prefix (one that ends with a slash), as a slow link does.
 	ListLatency time.Duration
+	// SilentPrefix withholds the responses to reads and watches of keys with this prefix; empty for none.
+	SilentPrefix string
 }
 
 const maxHistoryEvents = 5000
@@ -165,6 +167,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	query := r.URL.Query()
+	if faults.SilentPrefix != "" && strings.HasPrefix(query.Get("prefix")+query.Get("key"), faults.SilentPrefix) {
+		<-r.Context().Done()
+		return
+	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/"), "/")
 	switch name {
 	case "kv-key":
