entry: an unconfirmed configuration decides no call

Callers of a queue that had been removed 5 to 10 s before got its number of pending jobs, or "no such job", with status 200 and 410. Cause: a host answered from the configuration that it had, however long ago that was known to be the newest; only a call that it would reject made it read the store. Change: the follower records when its bundle is known to have been the newest (the time when a read was sent, or the end of a watch without a change). A call that finds it older than the operator's time for applying a configuration, less 100 ms, reads the store first, and is rejected with 2302 if that fails. Submissions need none of it: the store accepts them only if the bundle has not changed. The event "configuration read" names the size, and 2302 the age, which the incident's logs lacked.

--- a/entry/host.go
+++ b/entry/host.go
@@ -79,6 +79,7 @@
 		announce: h.announce,
 		ledger:   records, operator: h.operator, metrics: h.metrics, log: event,
 		draining: h.draining.Load, bundleRefreshTimeout: bundleRefreshTimeout(settings.Bounds),
+		maxBundleAge: maxBundleAge(settings.Bounds),
 	}
 	return h
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -38,6 +38,11 @@
 	// defaultDowngradeSlack is used if the settings do not set bounds.downgrade_slack_ms: how long after the first
 	// response based on a new bundle a host may still send responses based on an older one.
 	defaultDowngradeSlack = 250 * time.Millisecond
+	// defaultConfigApply is used if the settings do not set bounds.config_apply_ms.
+	defaultConfigApply = 2 * time.Second
+	// bundleAgeReserve is the part of the time for applying a bundle that is left for inexact timers of the store, on
+	// which a host relies when a watch ends without a change.
+	bundleAgeReserve = 100 * time.Millisecond
 	// arrivalReserve is the part of the downgrade slack that is left for a call to reach this host.
 	arrivalReserve = 50 * time.Millisecond
 	// maxSubmitStoreAge is the longest time since the store's last response at which submissions are still sent to
@@ -57,6 +62,8 @@
 	// Calls that arrive in the meantime may be decided by the older bundle. If the wait were longer, clients would
 	// see this host return to an older bundle.
 	bundleRefreshTimeout time.Duration
+	// maxBundleAge is the longest time since the bundle was known to be the newest at which it may decide a call.
+	maxBundleAge time.Duration
 }
 
 // bundleRefreshTimeout returns how long after its arrival a call may wait for the newest bundle.
@@ -68,6 +75,15 @@
 	return max(downgrade-arrivalReserve, arrivalReserve)
 }
 
+// maxBundleAge returns how long a bundle that is no longer known to be the newest may decide calls.
+func maxBundleAge(bounds platform.Bounds) time.Duration {
+	apply := bounds.ConfigApply
+	if apply <= 0 {
+		apply = defaultConfigApply
+	}
+	return max(apply-bundleAgeReserve, apply/2)
+}
+
 // response is the outcome of one call with its body and log fields.
 type response struct {
 	outcome
@@ -151,18 +167,21 @@
 	key        string
 }
 
-// admit finds the queue and the team of a call. Before it rejects a call because of an unknown queue or key, it reads
-// the newest bundle, since this host may have an older one.
+// admit finds the queue and the team of a call. It reads the newest bundle before it rejects a call because of an
+// unknown queue or key, and if the known bundle was confirmed too long ago. A submission needs no confirmed bundle,
+// since the store accepts it only if the bundle has not changed.
 func (s *server) admit(ctx context.Context, request *http.Request) (call, *response) {
+	age := s.operator.BundleAge() // read before the state, which may be replaced in between
 	c, rejection := s.match(s.operator.State().Bundle, request)
-	if rejection == nil {
+	if rejection == nil && (age <= s.maxBundleAge || request.Method == http.MethodPost) {
 		return c, nil
 	}
 	if err := s.operator.Refresh(ctx); err != nil {
-		return call{}, &response{
-			outcome:   bundleReadFailed,
-			logFields: []any{"error", err.Error(), "would_be", rejection.status},
+		logFields := []any{"error", err.Error(), "bundle_age_ms", age.Milliseconds()}
+		if rejection != nil {
+			logFields = append(logFields, "would_be", rejection.status)
 		}
+		return call{}, &response{outcome: bundleReadFailed, logFields: logFields}
 	}
 	c, rejection = s.match(s.operator.State().Bundle, request)
 	return c, rejection
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,7 @@
 
 	state        atomic.Pointer[State]
 	lastResponse atomic.Int64 // time of the store's last response, by the monotonic clock; 0: none yet
+	confirmed    atomic.Int64 // latest time at which the bundle is known to have been the newest; 0: never
 
 	mu         sync.Mutex
 	items      map[string]platform.Item
@@ -63,15 +65,29 @@
 }
 
 // StoreAge returns the time since the store's last response, or the maximum duration if there was none.
-func (f *Follower) StoreAge() time.Duration {
-	lastResponse := f.lastResponse.Load()
-	if lastResponse == 0 {
-		return time.Duration(1<<63 - 1)
+func (f *Follower) StoreAge() time.Duration { return timeSince(&f.lastResponse) }
+
+// BundleAge returns the time since the bundle is known to have been the newest, or the maximum duration if there is none.
+// It holds for every State that is read later.
+func (f *Follower) BundleAge() time.Duration { return timeSince(&f.confirmed) }
+
+func timeSince(moment *atomic.Int64) time.Duration {
+	value := moment.Load()
+	if value == 0 {
+		return math.MaxInt64
 	}
-	return clock.Now() - time.Duration(lastResponse)
+	return clock.Now() - time.Duration(value)
 }
 
-func (f *Follower) recordResponse() { f.lastResponse.Store(int64(clock.Now())) }
+// recordResponse records a response after its items have been published. The store had no newer bundle at asOf.
+func (f *Follower) recordResponse(asOf time.Duration) {
+	f.lastResponse.Store(int64(clock.Now()))
+	for known := f.confirmed.Load(); known < int64(asOf); known = f.confirmed.Load() {
+		if f.confirmed.CompareAndSwap(known, int64(asOf)) {
+			return
+		}
+	}
+}
 
 // Run reads and watches the operator's entries until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -97,11 +113,18 @@
 }
 
 func (f *Follower) readAll(ctx context.Context) (uint64, error) {
+	sent := clock.Now()
 	items, asOf, err := f.kv.ListAll(ctx, platform.OperatorPrefix, readTimeout)
 	if err != nil {
 		return 0, err
 	}
-	f.recordResponse()
+	f.replaceItems(items, asOf)
+	f.recordResponse(sent)
+	return asOf, nil
+}
+
+// replaceItems replaces the known items by those that the store listed at the revision asOf.
+func (f *Follower) replaceItems(items []platform.Item, asOf uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	present := make(map[string]bool, len(items))
@@ -119,7 +142,6 @@
 	if changed {
 		f.publishState()
 	}
-	return asOf, nil
 }
 
 // update replaces the known item with the same key and reports whether it did. It ignores an item that is not newer.
@@ -132,33 +154,45 @@
 	return true
 }
 
-func (f *Follower) watch(ctx context.Context, after uint64) error {
-	for {
-		events, asOf, err := f.kv.Watch(ctx, platform.OperatorPrefix, after, watchWait)
-		if err != nil {
-			return err
-		}
-		f.recordResponse()
-		after = asOf
-		if len(events) == 0 {
-			continue
-		}
-		f.mu.Lock()
-		changed := false
-		for _, event := range events {
-			if event.Deleted {
-				if known, ok := f.items[event.Key]; ok && known.Revision < event.Revision {
-					delete(f.items, event.Key)
-					changed = true
-				}
-				continue
-			}
+func (f *Follower) watch(ctx context.Context, after uint64) (err error) {
+	for err == nil {
+		after, err = f.watchOnce(ctx, after)
+	}
+	return err
+}
+
+// watchOnce waits for changes after a revision and returns the revision from which to continue.
+func (f *Follower) watchOnce(ctx context.Context, after uint64) (asOf uint64, err error) {
+	sent := clock.Now()
+	events, asOf, err := f.kv.Watch(ctx, platform.OperatorPrefix, after, watchWait)
+	switch {
+	case err != nil:
+		return after, err
+	case len(events) == 0:
+		f.recordResponse(min(sent+watchWait, clock.Now())) // the store waited that long for a change
+	default:
+		f.applyEvents(events)
+		f.recordResponse(sent)
+	}
+	return asOf, nil
+}
+
+func (f *Follower) applyEvents(events []platform.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	for _, event := range events {
+		if !event.Deleted {
 			changed = f.update(event.Item) || changed
+			continue
 		}
-		if changed {
-			f.publishState()
+		if known, ok := f.items[event.Key]; ok && known.Revision < event.Revision {
+			delete(f.items, event.Key)
+			changed = true
 		}
-		f.mu.Unlock()
+	}
+	if changed {
+		f.publishState()
 	}
 }
 
@@ -196,8 +230,8 @@
 		f.log("unreadable configuration", "revision", item.Revision, "error", err.Error())
 		return old
 	}
-	f.log("configuration read", "version", bundle.Version, "revision", bundle.Revision, "queues", len(bundle.Queues),
-		"teams", len(bundle.Teams))
+	f.log("configuration read", "version", bundle.Version, "revision", bundle.Revision, "bytes", len(item.Value),
+		"queues", len(bundle.Queues), "teams", len(bundle.Teams))
 	return bundle
 }
 
@@ -223,16 +257,17 @@
 }
 
 func (f *Follower) readBundle(done chan struct{}) {
+	sent := clock.Now()
 	item, err := f.kv.Get(context.Background(), platform.BundleKey, readTimeout)
-	if err == nil {
-		f.recordResponse()
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refreshErr = err
 	if err == nil && item.Revision != 0 && f.update(item) {
 		f.publishState()
 	}
+	if err == nil {
+		f.recordResponse(sent)
+	}
 	f.refresh = nil
 	close(done)
 }
