operator: a bundle that is known is compared, not read again

Callers of hosts on slow links got 503 (2302) in place of 404 while the configuration was large, and on every call when its confirmation was due. Cause: before it rejects a call, and since the last change before it relies on an old confirmation, a host read the whole configuration: 1.1 MB, 0.9 s at 10 Mbit/s, where a call waits 200 ms. The read also took the link from the watch that was receiving the next version. Change: Refresh sends the store a transaction that only compares the revision of the bundle. If it is unchanged, the response is small; otherwise it contains the new bundle. While a response to the watch arrives, Refresh waits for it instead of asking for the same bytes. The stand-in withholds such transactions as well when it withholds reads.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,7 @@
 	changed    chan struct{} // closed and replaced at each change
 	refresh    chan struct{} // not nil while readBundle runs, which closes it
 	refreshErr error         // result of the last readBundle
+	receiving  chan struct{} // not nil while Run receives a response, closed at its end
 }
 
 // New returns a follower with an empty state. Run fills it.
@@ -113,6 +115,8 @@
 }
 
 func (f *Follower) readAll(ctx context.Context) (uint64, error) {
+	ctx, ended := f.traceReception(ctx)
+	defer ended()
 	sent := clock.Now()
 	items, asOf, err := f.kv.ListAll(ctx, platform.OperatorPrefix, readTimeout)
 	if err != nil {
@@ -163,6 +167,8 @@
 
 // watchOnce waits for changes after a revision and returns the revision from which to continue.
 func (f *Follower) watchOnce(ctx context.Context, after uint64) (asOf uint64, err error) {
+	ctx, ended := f.traceReception(ctx)
+	defer ended()
 	sent := clock.Now()
 	events, asOf, err := f.kv.Watch(ctx, platform.OperatorPrefix, after, watchWait)
 	switch {
@@ -235,34 +241,48 @@
 	return bundle
 }
 
-// Refresh reads the bundle from the store. Concurrent calls share one read: a call that comes during a read waits for
-// it and starts none.
+// Refresh makes sure that the bundle is the newest. Concurrent calls share one read: a call that comes during a read
+// waits for it and starts none. Nor does it while Run receives a response, which may be a new bundle.
 func (f *Follower) Refresh(ctx context.Context) error {
-	f.mu.Lock()
-	running := f.refresh
-	if running == nil {
-		running = make(chan struct{})
-		f.refresh = running
-		go f.readBundle(running)
-	}
-	f.mu.Unlock()
-	select {
-	case <-running:
-	case <-ctx.Done():
-		return ctx.Err()
+	for {
+		running, receiving := f.refreshOrReception()
+		select {
+		case <-running:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !receiving {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.refreshErr
+		}
 	}
+}
+
+// refreshOrReception returns the end of the current reception, or else that of a read of the bundle, which it starts if
+// none is running.
+func (f *Follower) refreshOrReception() (ended <-chan struct{}, receiving bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.refreshErr
+	if f.receiving != nil {
+		return f.receiving, true
+	}
+	if f.refresh == nil {
+		f.refresh = make(chan struct{})
+		bundle := f.items[platform.BundleKey]
+		go f.readBundle(f.refresh, bundle.Revision)
+	}
+	return f.refresh, false
 }
 
-func (f *Follower) readBundle(done chan struct{}) {
+// readBundle reads the bundle if its revision is not known.
+func (f *Follower) readBundle(done chan struct{}, known uint64) {
 	sent := clock.Now()
-	item, err := f.kv.Get(context.Background(), platform.BundleKey, readTimeout)
+	item, changed, err := f.kv.GetIfChanged(context.Background(), platform.BundleKey, known, readTimeout)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refreshErr = err
-	if err == nil && item.Revision != 0 && f.update(item) {
+	if changed && item.Revision != 0 && f.update(item) {
 		f.publishState()
 	}
 	if err == nil {
@@ -271,3 +291,28 @@
 	f.refresh = nil
 	close(done)
 }
+
+// traceReception returns a context for calls whose responses set f.receiving when they begin. The caller calls ended after
+// it has published what it received.
+func (f *Follower) traceReception(ctx context.Context) (traced context.Context, ended func()) {
+	var current chan struct{}
+	finished := false
+	begin := func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !finished && current == nil { // the response of a call that was given up may begin later
+			current = make(chan struct{})
+			f.receiving = current
+		}
+	}
+	end := func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		finished = true
+		if current != nil {
+			f.receiving = nil
+			close(current)
+		}
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: begin}), end
+}
--- a/testbed/fleet/configuration_test.go
+++ b/testbed/fleet/configuration_test.go
@@ -87,6 +87,29 @@
 	})
 }
 
+// TestRejectionWithLargeConfiguration guards against a host on a slow link that reads the whole configuration again
+// before it rejects a call, and cannot do so in time.
+func TestRejectionWithLargeConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	defer f.Close()
+	proxy, err := fleet.NewProxy(f.StoreAddress())
+	is.NoErr(err)
+	defer proxy.Close()
+	h := addHost(t, f, "edge-1", func(s *platform.Settings) { s.Store.Address = proxy.Address() })
+	defer h.stop()
+	f.Store.Put(platform.BundleKey, largeConfiguration(t, 2, 5500))
+	rejected := func() int {
+		status, _ := h.call(http.MethodGet, "", "", teamKey)
+		return status
+	}
+	waitUntil(t, configurationApplyBound, "404 for the removed queue", func() bool { return rejected() == http.StatusNotFound })
+	proxy.SetFault(fleet.ProxyFault{Delay: 20 * time.Millisecond}) // 1.5 MB take 0.9 s
+	for range 10 {
+		is.Equal(rejected(), http.StatusNotFound)
+	}
+}
+
 // waitUntil fails the test if the condition does not hold within limit.
 func waitUntil(t *testing.T, limit time.Duration, what string, condition func() bool) {
 	t.Helper()
--- a/testbed/fleet/store.go
+++ b/testbed/fleet/store.go
@@ -54,7 +54,8 @@
 	Latency         time.Duration // delays every request
 	// ListLatency delays each read of a whole prefix (one that ends with a slash), as a slow link does.
 	ListLatency time.Duration
-	// SilentPrefix withholds the responses to reads and watches of keys with this prefix; empty for none.
+	// SilentPrefix withholds the responses to reads and watches of keys with this prefix, and to transactions that only
+	// compare such keys; empty for none.
 	SilentPrefix string
 }
 
@@ -296,6 +297,19 @@
 	Remove []string `json:"remove"`
 }
 
+// onlyCompares reports whether the transaction changes nothing and compares a key with the prefix.
+func (t transaction) onlyCompares(prefix string) bool {
+	if prefix == "" || len(t.Set)+len(t.Remove) > 0 {
+		return false
+	}
+	for _, condition := range t.If {
+		if strings.HasPrefix(condition.Key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 const maxTransactionOperations = 32
 
 func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request, faults StoreFaults) {
@@ -304,6 +318,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if txn.onlyCompares(faults.SilentPrefix) {
+		<-r.Context().Done()
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conflicts := false
@@ -329,7 +347,9 @@
 			return
 		}
 	}
-	s.revision++
+	if len(txn.Set)+len(txn.Remove) > 0 {
+		s.revision++
+	}
 	for _, set := range txn.Set {
 		s.put(set.Key, set.Value, set.Lease)
 	}
