--- a/schedule/histories_test.go
+++ b/schedule/histories_test.go
@@ -26,14 +26,10 @@
 			}
 		}
 		sim.endFaults()
+		sim.checkEnds()
 		if sim.violation != "" {
 			t.Fatal(sim.violation)
 		}
-		for _, id := range sim.submitted {
-			if s := sim.stored[id]; s.progress == nil || !s.progress.Phase.Terminal() {
-				t.Fatalf("LOST: job %s has not ended long after the last fault", id)
-			}
-		}
 	})
 }
 
@@ -57,7 +53,7 @@
 	}
 }
 
-func (sim *simulation) submit() {
+func (sim *simulation) submit() *storedJob {
 	number := len(sim.submitted) + 1
 	j := &job.Job{
 		ID: job.ID(fmt.Sprintf("%016x", number)), Team: testTeam, Queue: testJobQueue(), Spec: fmt.Sprint("spec ", number),
@@ -82,6 +78,7 @@
 		sim.owner.core.SetTime(sim.now, sim.now.Milliseconds())
 		sim.deliverJob(sim.owner, s)
 	}
+	return s
 }
 
 func (sim *simulation) cancel() {
@@ -100,8 +97,7 @@
 
 // crash ends an upstream. It restarts at once under the same ID, or stays away until the faults end.
 func (sim *simulation) crash(u *simUpstream) {
-	u.dead = true
-	u.running = nil
+	u.crash(sim)
 	if rapid.Bool().Draw(sim.t, "returns") {
 		u.start(sim, u.startedMS+1)
 		if sim.owner != nil && !sim.owner.dead {
--- a/schedule/simchecks_test.go
+++ b/schedule/simchecks_test.go
@@ -13,13 +13,17 @@
 	doneAcked bool // a success was acknowledged, and the lease did not expire between the end and the acknowledgement
 	done      bool
 	failed    int // number of acknowledged failures
+	crashes   int // number of upstreams that crashed while it ran there
+	// startsAfterCrashes counts the starts of a task that crashes its upstreams after the third crash.
+	startsAfterCrashes int
 }
 
 // fail records the first violation. The message begins with the name of the users' rule, which other tests mention too.
 // TWICE: no task runs in two places or again after its success. LIMIT: an upstream is not used beyond its capacity, and
 // a wave does not take down more machines than it allows. ORDER: a step starts after the steps it depends on. QUOTA: a
-// team stays within its cap. BUDGET: a task that has failed as often as its queue allows is not started again. UNASKED:
-// only submitted work that is not cancelled starts. LOST: every job ends, and long-running tasks keep running. AVAIL:
+// team stays within its cap. BUDGET: a task that has failed as often as its queue allows is not started again, and one
+// that crashes its upstreams is not started three times more after the third crash. UNASKED: only submitted work that is
+// not cancelled starts. LOST: every job ends, none fails without cause, and long-running tasks keep running. AVAIL:
 // planned actions interrupt no more tasks of a long-running step at a time than the step allows.
 func (sim *simulation) fail(format string, args ...any) {
 	if sim.violation == "" {
@@ -56,6 +60,33 @@
 	}
 }
 
+// checkEnds checks, long after the last fault, that every job has ended and that none has failed without cause.
+func (sim *simulation) checkEnds() {
+	for _, id := range sim.submitted {
+		s := sim.stored[id]
+		switch {
+		case s.progress == nil || !s.progress.Phase.Terminal():
+			sim.fail("LOST: job %s has not ended long after the last fault", id)
+		case s.progress.Phase == job.Failed && !sim.mayFail(s):
+			sim.fail("LOST: job %s failed without cause", id)
+		}
+	}
+}
+
+// mayFail reports whether a task of the job has failed as often as its queue allows, or two upstreams have crashed
+// under it.
+func (sim *simulation) mayFail(s *storedJob) bool {
+	for step := range s.job.Steps {
+		for i := range s.job.Steps[step].Count {
+			history := sim.historyOf(job.TaskID{Job: s.job.ID, Step: step, Index: i})
+			if history.failed >= testJobQueue().MaxAttempts || history.crashes >= 2 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // checkStart checks a start against the users' rules.
 func (sim *simulation) checkStart(u *simUpstream, command platform.StartCommand) {
 	sim.starts++
@@ -81,6 +112,11 @@
 	if !step.LongRunning && history.failed >= testJobQueue().MaxAttempts {
 		sim.fail("BUDGET: %s attempt %d after %d failures", command.Task, command.Attempt, history.failed)
 	}
+	if s.crashes(command.Task) && !sim.lateCall && history.crashes >= 3 {
+		if history.startsAfterCrashes++; history.startsAfterCrashes >= 3 {
+			sim.fail("BUDGET: %s attempt %d, the third start after %d crashes", command.Task, command.Attempt, history.crashes)
+		}
+	}
 	// The users' bound does not apply to commands that an upstream carried out late.
 	if s.cancelled && !sim.lateCall && sim.now > s.cancelledAt+3*time.Second {
 		sim.fail("UNASKED: %s started %v after its cancellation", command.Task, sim.now-s.cancelledAt)
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -43,8 +43,12 @@
 	progress    *job.Progress
 	cancelled   bool
 	cancelledAt time.Duration
+	deadly      bool // its first task crashes each upstream that starts it
 }
 
+// crashes reports whether the task crashes each upstream that starts it.
+func (s *storedJob) crashes(id job.TaskID) bool { return s.deadly && id.Step == 0 && id.Index == 0 }
+
 type simOwner struct {
 	core     *schedule.Core
 	token    uint64
@@ -225,7 +229,8 @@
 			sim.stored[record.ID].progress = &progress
 		}
 		sim.roster = slices.DeleteFunc(sim.roster, func(entry platform.Upstream) bool {
-			return slices.Contains(roster.Removed, entry.ID)
+			return slices.Contains(roster.Removed, entry.ID) ||
+				slices.ContainsFunc(roster.Added, func(added platform.Upstream) bool { return added.ID == entry.ID })
 		})
 		sim.roster = append(sim.roster, roster.Added...)
 		if !o.dead {
--- a/schedule/simupstream_test.go
+++ b/schedule/simupstream_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
 	"pgregory.net/rapid"
 
 	"citrongauge.example/citrongauge/job"
@@ -25,7 +26,8 @@
 	seq           uint64 // sequence number of the last end
 	unreachable   bool   // calls and responses are lost
 	dead          bool
-	failsAll      bool // every run fails
+	returnsAt     time.Duration // when it starts again after a task has crashed it; 0: not
+	failsAll      bool          // every run fails
 }
 
 type simRun struct {
@@ -44,7 +46,18 @@
 func (u *simUpstream) start(sim *simulation, startedMS int64) {
 	u.startedMS, u.startedAt, u.token, u.deadline = startedMS, sim.now, 0, 0
 	u.running, u.endedAttempts, u.ends, u.seq = map[job.TaskID]*simRun{}, map[job.TaskID]uint64{}, nil, 0
-	u.dead = false
+	u.dead, u.returnsAt = false, 0
+}
+
+// simReturnTime is how long an upstream is away after a task has crashed it.
+const simReturnTime = 3 * time.Second
+
+// crash ends the upstream and all its runs.
+func (u *simUpstream) crash(sim *simulation) {
+	for id := range u.running {
+		sim.historyOf(id).crashes++
+	}
+	u.dead, u.running = true, nil
 }
 
 func (u *simUpstream) clock(sim *simulation) int64 {
@@ -72,6 +85,12 @@
 
 // tick ends the runs that are due, and all runs once the lease has expired.
 func (u *simUpstream) tick(sim *simulation) {
+	if u.dead && u.returnsAt > 0 && sim.now >= u.returnsAt {
+		u.start(sim, u.startedMS+1)
+		if sim.owner != nil && !sim.owner.dead {
+			sim.owner.core.SetUpstream(u.entry())
+		}
+	}
 	if u.dead {
 		return
 	}
@@ -137,7 +156,12 @@
 	duration := time.Duration(rapid.IntRange(100, 2500).Draw(sim.t, "ms")) * time.Millisecond
 	u.running[command.Task] = &simRun{
 		attempt: command.Attempt, until: sim.now + duration, reserved: step.ReservedResources(), step: step,
-		fails: !sim.faultsEnded && (u.failsAll || rapid.IntRange(0, 19).Draw(sim.t, "fails") == 0),
+		fails: !s.crashes(command.Task) && !sim.faultsEnded && (u.failsAll || rapid.IntRange(0, 19).Draw(sim.t, "fails") == 0),
+	}
+	if s.crashes(command.Task) {
+		u.crash(sim)
+		u.returnsAt = sim.now + simReturnTime
+		return 0, errors.Wrap(platform.ErrOutcomeUnknown, "crashed")
 	}
 	return u.clock(sim), nil
 }
