schedule: no start over the capacity of an upstream that shrinks

The owner takes the capacity from each entry, so new placements held already. Two starts did not: one that waits for its placement to be stored when the entry changes, and the next copy of a start that got no answer.

Cause: both were checked for capacity only when they were placed. Class: a decision that is carried out later without a second look at its premise. Now the first is taken back and placed anew, the second waits for the poll. Test: TestNoStartsOverShrunkCapacity, failed before at both points (2 != 1, 1 != 0).

--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -115,6 +115,9 @@
 		case !c.isUsable(r.up) || (r.part.job.Queue.NeedsAdvice && c.ticketFor(r.part, r.up) == ""):
 			c.detach(r)
 			c.requeue(r, "its upstream is no longer usable", "")
+		case r.up.isOverCapacity():
+			c.detach(r)
+			c.requeue(r, "its upstream's capacity has shrunk", "")
 		default:
 			r.started = c.now
 			c.sendStart(r, c.ticketFor(r.part, r.up))
@@ -227,7 +230,7 @@
 		switch r.state {
 		case runUnknown:
 			switch {
-			case r.unanswered < maxStartAttempts:
+			case r.unanswered < maxStartAttempts && !r.up.isOverCapacity():
 				c.sendStart(r, c.ticketFor(r.part, r.up))
 			case r.up.answeredSeq > r.pollSeqAtReturn:
 				c.stopRun(r, "its start got no answer")
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -68,6 +68,9 @@
 
 func (u *upstream) freeCapacity() job.Resources { return u.Capacity.Sub(u.used) }
 
+// isOverCapacity reports whether the runs on the upstream take more than its capacity, which may have shrunk.
+func (u *upstream) isOverCapacity() bool { return !job.Resources{}.Fits(u.freeCapacity()) }
+
 // estimateClock returns a lower bound of the upstream's current clock.
 func (u *upstream) estimateClock(now time.Duration) int64 {
 	return u.clockMS + int64(minClockRate*float64((now-u.clockAt).Milliseconds()))
