--- a/schedule/capacity_test.go
+++ b/schedule/capacity_test.go
@@ -7,30 +7,10 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/schedule"
 )
 
-// setCapacity changes what the upstream says of its processors.
-func (h *harness) setCapacity(id string, milliCPU int64) {
-	h.core.SetUpstream(platform.Upstream{
-		ID: id, Pool: testPool, Address: id + ":1", Zone: "a", StartedMS: 1, Machine: "m-" + id,
-		Capacity: job.Resources{MilliCPU: milliCPU, MemoryMB: 64000}, Labels: []string{"k", "r1"},
-	})
-}
-
-// startsOf returns the starts among the calls.
-func startsOf(calls []schedule.Call) []schedule.Start {
-	var starts []schedule.Start
-	for _, call := range calls {
-		if start, ok := call.(schedule.Start); ok {
-			starts = append(starts, start)
-		}
-	}
-	return starts
-}
-
 // Guards against starts over the capacity of an upstream that shrinks (LIMIT): beside runs that were started before,
 // between the decision and the start, and with the next copy of a start.
 func TestNoStartsOverShrunkCapacity(t *testing.T) {
@@ -42,14 +22,14 @@
 	h.acceptStarts(h.decide().starts)
 
 	h.addUniformJob(2, 2, 4000)
-	is.Equal(len(startsOf(h.core.Decide())), 0) // planned: their placements have to be stored
+	is.Equal(len(callsOf[schedule.Start](h.core.Decide())), 0) // planned: their placements have to be stored
 	batch := h.core.TakeRecords().Number
-	h.setCapacity("u-1", 12000)
+	h.core.SetUpstream(upstreamEntry("u-1", 12000))
 	h.core.RecordsStored(batch)
 	starts := h.decide().starts
 	is.Equal(len(starts), 1)
 
-	h.setCapacity("u-1", 4000)
+	h.core.SetUpstream(upstreamEntry("u-1", 4000))
 	h.core.HandleStartResult(starts[0], 0, errors.Wrap(platform.ErrOutcomeUnknown, "lost"))
 	h.advance(time.Second)
 	is.Equal(len(h.decide().starts), 0) // no copy of the unanswered start
@@ -58,7 +38,7 @@
 	h.advance(time.Second)
 	is.Equal(len(h.decide().starts), 0)
 
-	h.setCapacity("u-1", 20000)
+	h.core.SetUpstream(upstreamEntry("u-1", 20000))
 	h.advance(time.Second)
 	is.Equal(len(h.decide().starts), 3) // the copy, the other task of job 2, and job 3
 }
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -55,12 +55,28 @@
 	h.core.SetTime(h.now, h.now.Milliseconds())
 }
 
-// addUpstream adds an upstream with 16 cores that is in the stored roster.
-func (h *harness) addUpstream(id string) {
-	entry := platform.Upstream{
+// upstreamEntry returns the entry of an upstream with the given processor capacity.
+func upstreamEntry(id string, milliCPU int64) platform.Upstream {
+	return platform.Upstream{
 		ID: id, Pool: testPool, Address: id + ":1", Zone: "a", StartedMS: 1, Machine: "m-" + id,
-		Capacity: job.Resources{MilliCPU: 16000, MemoryMB: 64000}, Labels: []string{"k", "r1"},
+		Capacity: job.Resources{MilliCPU: milliCPU, MemoryMB: 64000}, Labels: []string{"k", "r1"},
+	}
+}
+
+// callsOf returns the calls of one kind.
+func callsOf[T schedule.Call](calls []schedule.Call) []T {
+	var found []T
+	for _, call := range calls {
+		if call, ok := call.(T); ok {
+			found = append(found, call)
+		}
 	}
+	return found
+}
+
+// addUpstream adds an upstream with 16 cores that is in the stored roster.
+func (h *harness) addUpstream(id string) {
+	entry := upstreamEntry(id, 16000)
 	h.core.SetUpstream(entry)
 	h.core.RosterStored(schedule.RosterChange{Added: []platform.Upstream{entry}})
 }
--- a/schedule/polls_test.go
+++ b/schedule/polls_test.go
@@ -12,17 +12,6 @@
 	"citrongauge.example/citrongauge/schedule"
 )
 
-// pollsOf returns the polls among the calls of one decision, without storing any records.
-func (h *harness) pollsOf() []schedule.Poll {
-	var polls []schedule.Poll
-	for _, call := range h.core.Decide() {
-		if poll, ok := call.(schedule.Poll); ok {
-			polls = append(polls, poll)
-		}
-	}
-	return polls
-}
-
 // Guards against polls that only return ends that are known already: an upstream answers at once while it lists an end
 // that is not acknowledged. In testbed run karri-sched-large quiet-1 an owner sent 6,700 polls a second for 2,300 ends.
 func TestPollWaitsUntilEndsCanBeAcknowledged(t *testing.T) {
@@ -33,7 +22,7 @@
 	id := h.addUniformJob(1, 2, 1000)
 	c := h.decide()
 	h.acceptStarts(c.starts)
-	poll := h.pollsOf()
+	poll := callsOf[schedule.Poll](h.core.Decide())
 	if len(poll) == 0 {
 		poll = c.polls
 	}
@@ -46,10 +35,10 @@
 	h.answerPoll(poll[0], result)
 	for range 6 {
 		h.advance(50 * time.Millisecond)
-		is.Equal(len(h.pollsOf()), 0) // the end is not stored yet
+		is.Equal(len(callsOf[schedule.Poll](h.core.Decide())), 0) // the end is not stored yet
 	}
 	h.core.RecordsStored(h.core.TakeRecords().Number)
-	polls := h.pollsOf()
+	polls := callsOf[schedule.Poll](h.core.Decide())
 	is.Equal(len(polls), 1)
 	is.Equal(polls[0].Request.AckedSeq, uint64(1))
 }
@@ -63,7 +52,7 @@
 	id := h.addUniformJob(1, 2, 1000)
 	c := h.decide()
 	h.acceptStarts(c.starts)
-	polls := append(c.polls, h.pollsOf()...)
+	polls := append(c.polls, callsOf[schedule.Poll](h.core.Decide())...)
 	sent := 0
 	for end := h.now + 4*time.Second; h.now < end; h.advance(50 * time.Millisecond) {
 		for _, poll := range polls {
@@ -75,7 +64,7 @@
 				},
 			})
 		}
-		polls = h.pollsOf()
+		polls = callsOf[schedule.Poll](h.core.Decide())
 	}
 	is.True(sent >= 8)
 	is.True(sent <= 12)
@@ -93,7 +82,7 @@
 	reached := 0
 	var inFlight []schedule.Poll
 	for range 20 {
-		inFlight = append(inFlight, h.pollsOf()...)
+		inFlight = append(inFlight, callsOf[schedule.Poll](h.core.Decide())...)
 		is.True(len(inFlight) <= 200)
 		for i, poll := range inFlight {
 			if i%10 == 0 && reached < upstreams/2 {
