schedule: a service goes on without a task that crashes its upstreams

A long-running job whose task was given up would have ended with all its tasks, which callers still need; and ending them all at once takes away more tasks of the step than it allows (AVAIL). Cause: giving up ended the job in every case, as a task without success does, but a service has no result that the others could not give. Change: such a task is not started again, the others go on; the job ends only if none is left.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -43,7 +43,9 @@
 	}
 }
 
-func (s *suspicion) isProven() bool {
+// isGivenUp reports whether the task has lost so many upstreams that it is not started again.
+func (t *task) isGivenUp() bool {
+	s := t.suspicion
 	return s.losses >= lossesToGiveUp && s.alone >= aloneToGiveUp || s.seen >= maxLosses
 }
 
@@ -164,11 +166,21 @@
 	c.markDirty(p.job)
 	c.Log("upstream lost under a task", "job", p.job.ID, "task", p.taskID(crash.Index).String(), "attempt", crash.Attempt,
 		"upstream", upstream, "unseen", crash.Unseen, "alone", crash.Alone, "losses", t.suspicion.losses)
-	if t.suspicion.isProven() {
-		c.endJob(p.job, job.Failed, "a task crashed the upstreams that started it")
+	if t.isGivenUp() {
+		c.giveUp(p, crash.Index)
 	}
 }
 
+// giveUp ends the job of a task that crashes its upstreams. Other long-running tasks go on: a service is worth having
+// without one of them.
+func (c *Core) giveUp(p *part, index int) {
+	if p.step.LongRunning && slices.ContainsFunc(p.tasks, func(t task) bool { return !t.isGivenUp() }) {
+		c.Log("task given up", "job", p.job.ID, "task", p.taskID(index).String())
+		return
+	}
+	c.endJob(p.job, job.Failed, "a task crashed the upstreams that started it")
+}
+
 // endPlacement records that a suspect is not on the upstream any more, so that a later owner does not count the same
 // crash again.
 func (c *Core) endPlacement(p *part, t *task, up *upstream) {
--- a/schedule/histories_test.go
+++ b/schedule/histories_test.go
@@ -55,11 +55,7 @@
 }
 
 func (sim *simulation) submit() *storedJob {
-	number := len(sim.submitted) + 1
-	j := &job.Job{
-		ID: job.ID(fmt.Sprintf("%016x", number)), Team: testTeam, Queue: testJobQueue(), Spec: fmt.Sprint("spec ", number),
-		AcceptedMS: sim.now.Milliseconds(),
-	}
+	var steps []job.Step
 	for i := range rapid.IntRange(1, 3).Draw(sim.t, "steps") {
 		step := job.Step{
 			Count:    rapid.IntRange(1, 4).Draw(sim.t, "count"),
@@ -69,7 +65,16 @@
 		if i > 0 {
 			step.After = []int{i - 1}
 		}
-		j.Steps = append(j.Steps, step)
+		steps = append(steps, step)
+	}
+	return sim.submitSteps(steps...)
+}
+
+func (sim *simulation) submitSteps(steps ...job.Step) *storedJob {
+	number := len(sim.submitted) + 1
+	j := &job.Job{
+		ID: job.ID(fmt.Sprintf("%016x", number)), Team: testTeam, Queue: testJobQueue(), Spec: fmt.Sprint("spec ", number),
+		AcceptedMS: sim.now.Milliseconds(), Steps: steps,
 	}
 	sim.revision++
 	s := &storedJob{job: j, created: sim.revision}
