testbed: a test process that has used up its ports reserves another block

Cause: ports are not handed out twice, and nothing reserved a second block. Test: TestPortsBeyondOneBlock, failed before with the same error.

--- a/testbed/ports/ports.go
+++ b/testbed/ports/ports.go
@@ -19,30 +19,29 @@
 	blockSize = 200    // ports
 )
 
-// ErrNoFreePort reports that all blocks are reserved by other processes, or that all ports of this process's block have
-// been handed out.
+// ErrNoFreePort reports that all blocks are reserved.
 var ErrNoFreePort = errors.New("no free port")
 
-// block is the range of ports of this process. The listener on its first port reserves it until the process ends.
-var block struct {
+// blocks are the ranges of ports of this process. The listeners on their first ports reserve them until the process ends.
+var blocks struct {
 	mu       sync.Mutex
-	reserved net.Listener
-	next     int
-	end      int
+	reserved []net.Listener
+	next     int // next port to be handed out, in the block that was reserved last
+	end      int // end of that block
 }
 
 // Free returns a port on 127.0.0.1 that nothing listens on and that no other call returns.
 func Free() (int, error) {
-	block.mu.Lock()
-	defer block.mu.Unlock()
-	if block.reserved == nil {
-		if err := reserveBlock(); err != nil {
-			return 0, err
+	blocks.mu.Lock()
+	defer blocks.mu.Unlock()
+	for {
+		if blocks.next == blocks.end {
+			if err := reserveBlock(); err != nil {
+				return 0, err
+			}
 		}
-	}
-	for block.next < block.end {
-		port := block.next
-		block.next++
+		port := blocks.next
+		blocks.next++
 		listener, err := listen(port)
 		if err != nil {
 			continue // used by another program
@@ -52,14 +51,14 @@
 		}
 		return port, nil
 	}
-	return 0, errors.Wrap(ErrNoFreePort, "block used up")
 }
 
 func reserveBlock() error {
 	for first := firstPort; first+blockSize <= lastPort; first += blockSize {
 		listener, err := listen(first)
 		if err == nil {
-			block.reserved, block.next, block.end = listener, first+1, first+blockSize
+			blocks.reserved = append(blocks.reserved, listener)
+			blocks.next, blocks.end = first+1, first+blockSize
 			return nil
 		}
 	}
--- a/testbed/ports/ports_test.go
+++ b/testbed/ports/ports_test.go
@@ -36,3 +36,16 @@
 		is.NoErr(used.Close())
 	}
 }
+
+// Guards against a test process that runs out of ports while other blocks are free: 50 seeds of the soak need more than
+// one block.
+func TestPortsBeyondOneBlock(t *testing.T) {
+	is := is.New(t)
+	handedOut := map[int]bool{}
+	for range 450 {
+		port, err := ports.Free()
+		is.NoErr(err)
+		is.True(!handedOut[port])
+		handedOut[port] = true
+	}
+}
