schedule: a loss is counted once, however many owners follow

A job failed without cause. Cause: a run whose start may still arrive at the upstream's next incarnation keeps its stored placement. If the owner ended before that was settled, the next one found the placement on an upstream that had started anew and counted the loss a second time, the one after it a third time. Change: a counted loss is marked until its task starts again, and no owner counts another one for the task before that. This replaces the removal of the placement, which did not cover such runs. Test: TestLossIsCountedOnceByAllOwners, failed before (2 != 1).

--- a/job/progress.go
+++ b/job/progress.go
@@ -104,6 +104,8 @@
 	Attempt uint64 `cbor:"2,keyasint,omitempty"`
 	Alone   bool   `cbor:"3,keyasint,omitempty"` // no other run could have caused it
 	Unseen  bool   `cbor:"4,keyasint,omitempty"` // no owner followed the attempt when it happened
+	// Unstarted is set while the task has not been started again.
+	Unstarted bool `cbor:"5,keyasint,omitempty"`
 }
 
 // IsDone reports whether the task at index is done.
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -142,10 +142,9 @@
 	for _, j := range c.jobs.all() {
 		for _, p := range j.parts {
 			for i := range p.tasks {
-				if t := &p.tasks[i]; j.inherited && t.placedOn == up.ID && len(t.runs) == 0 {
+				if t := &p.tasks[i]; j.inherited && t.placedOn == up.ID && len(t.runs) == 0 && !p.isLossCounted(i) {
 					alone := t.suspicion.losses >= isolatedAfter
 					c.suspect(p, job.TaskCrash{Index: i, Attempt: c.Generation * attemptsPerOwner, Alone: alone, Unseen: true}, up.ID)
-					c.endPlacement(p, t, up)
 				}
 			}
 		}
@@ -160,9 +159,9 @@
 	}) {
 		return
 	}
+	crash.Unstarted = true
 	p.progress.Crashes = append(p.progress.Crashes, crash)
 	t.suspicion.add(crash)
-	t.placedBatch = c.lastBatch + 1 // the count is stored before the task starts again
 	c.markDirty(p.job)
 	c.Log("upstream lost under a task", "job", p.job.ID, "task", p.taskID(crash.Index).String(), "attempt", crash.Attempt,
 		"upstream", upstream, "unseen", crash.Unseen, "alone", crash.Alone, "losses", t.suspicion.losses)
@@ -181,13 +180,21 @@
 	c.endJob(p.job, job.Failed, "a task crashed the upstreams that started it")
 }
 
-// endPlacement records that a suspect is not on the upstream any more, so that a later owner does not count the same
-// crash again.
-func (c *Core) endPlacement(p *part, t *task, up *upstream) {
-	if t.isSuspect() && len(t.runs) == 0 && t.placedOn == up.ID {
-		t.placedOn = ""
-		c.markDirty(p.job)
+// noteStarted records that a task starts again after a loss that was counted against it, and reports whether it has to
+// be stored.
+func (p *part) noteStarted(index int) bool {
+	changed := false
+	for i := range p.progress.Crashes {
+		if crash := &p.progress.Crashes[i]; crash.Index == index && crash.Unstarted {
+			crash.Unstarted, changed = false, true
+		}
 	}
+	return changed
+}
+
+// isLossCounted reports whether the loss of the upstream on which the task was started last is counted.
+func (p *part) isLossCounted(index int) bool {
+	return slices.ContainsFunc(p.progress.Crashes, func(crash job.TaskCrash) bool { return crash.Index == index && crash.Unstarted })
 }
 
 func (p *part) clearCrashes(index int) {
--- a/schedule/crashes_test.go
+++ b/schedule/crashes_test.go
@@ -3,10 +3,14 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
 )
 
 // Guards against a task that crashes one upstream after another: each crash also ended all other tasks there, which were
@@ -69,3 +73,35 @@
 		}
 	}
 }
+
+// Guards against a loss that each new owner counts again while the task has not been started since: a job failed without
+// cause (TestHistoriesKeepTheRules, seed 16992171974540393947).
+func TestLossIsCountedOnceByAllOwners(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.addUpstream("u-1")
+	h.fenceAll(platform.PollResult{})
+	id := h.addUniformJob(1, 1, 1000)
+	h.core.HandleStartResult(h.decide().starts[0], 0, errors.Wrap(platform.ErrOutcomeUnknown, "lost"))
+	restarted := upstreamEntry("u-1", 16000)
+	restarted.StartedMS = 2
+	h.core.SetUpstream(restarted)
+	progress := h.core.TakeRecords().Jobs[0].Progress
+	is.Equal(len(progress.Parts[0].Crashes), 1)
+	for generation := 1; generation < 4; generation++ {
+		next := newHarness(t)
+		next.core.InheritUpstream(upstreamEntry("u-1", 16000)) // the roster has the first incarnation
+		step := job.Step{Count: 1, Request: job.Resources{MilliCPU: 20000}, Estimate: time.Second}
+		next.core.AddJob(&job.Job{
+			ID: id, Team: testTeam, Queue: testJobQueue(), Spec: "s", Steps: []job.Step{step}, AcceptedMS: next.now.Milliseconds(),
+		}, 101, true, &progress, false)
+		next.core.SetUpstream(restarted)
+		for _, poll := range next.decide().polls {
+			next.core.HandlePollResult(poll, platform.PollResult{StartedMS: 2, ClockMS: 1}, nil)
+		}
+		if batch := next.core.TakeRecords(); len(batch.Jobs) > 0 {
+			progress = batch.Jobs[0].Progress
+		}
+	}
+	is.Equal(len(progress.Parts[0].Crashes), 1)
+}
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -25,7 +25,6 @@
 	switch r.state {
 	case runStopped:
 		c.detach(r)
-		c.endPlacement(r.part, r.task(), r.up)
 		c.requeue(r, "stopped before it began", "")
 	case runRunning:
 		c.detach(r)
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -86,7 +86,7 @@
 	c.Log("start", "job", p.job.ID, "task", r.id().String(), "attempt", attempt, "upstream", up.ID,
 		"free_cpu", up.freeCapacity().MilliCPU, "waited_ms", (c.now - p.releasedAt).Milliseconds(),
 		"failures", t.failures, "clock_age_ms", (c.now - up.clockAt).Milliseconds())
-	if c.recordPlacement(p, t, up.ID) {
+	if c.recordPlacement(p, index, up.ID) {
 		c.sendStart(r, ticket)
 	} else {
 		c.plannedRuns = append(c.plannedRuns, r)
@@ -95,8 +95,9 @@
 
 // recordPlacement reports whether the task's placement on the upstream is stored already. If it is not,
 // recordPlacement marks it for storing with the next batch.
-func (c *Core) recordPlacement(p *part, t *task, id string) bool {
-	if t.placedOn == id {
+func (c *Core) recordPlacement(p *part, index int, id string) bool {
+	t := &p.tasks[index]
+	if startedAgain := p.noteStarted(index); t.placedOn == id && !startedAgain {
 		return t.placedBatch <= c.durableBatch
 	}
 	t.placedOn, t.placedBatch = id, c.lastBatch+1
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -244,7 +244,6 @@
 	c.countCrash(up)
 	for _, r := range up.runs.all() {
 		c.detach(r)
-		c.endPlacement(r.part, r.task(), up)
 		c.requeue(r, "upstream lost", r.checkpoint)
 	}
 }
