--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -24,7 +24,7 @@
 	"many-ends":   {6, playManyEnds},
 	"bad-jobs":    {3, playBadJobs},
 	"late-write":  {6, playLateWrite},
-	"power-flaps": {4, playPowerFlaps},
+	"power-flaps": {9, playPowerFlaps},
 	"dark-rack":   {9, playDarkRack},
 }
 
@@ -75,6 +75,9 @@
 	}
 	current = d
 	defer d.close()
+	if os.Args[1] == "power-flaps" {
+		d.setKind(rackKind)
+	}
 	if err := d.waitReady(); err != nil {
 		fmt.Println(err)
 		return 2
@@ -182,15 +185,15 @@
 		return nil, fmt.Errorf("the job that lasts was not accepted")
 	}
 	time.Sleep(2 * time.Second)
-	for number := range 38 {
+	for number := range goodJobs {
 		id := fmt.Sprintf("%016x", 0xd1000+number)
-		if !c.submitUntil(id, "ms=300", []step{{Count: 6, CPU: 1000, MemMB: 500, EstimateMS: 300}}) {
+		if !c.submitUntil(id, "ms=100", []step{{Count: 3, CPU: 1000, MemMB: 500, EstimateMS: 100}}) {
 			return nil, fmt.Errorf("a job was not accepted")
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(goodInterval)
 	}
 	if trouble {
-		for number := range 2 { // 2 of 42 jobs can never be done
+		for number := range badJobs {
 			id := fmt.Sprintf("%016x", 0xd2000+number)
 			if !c.submitUntil(id, "ms=100 fail", []step{{Count: 12, CPU: 3000, MemMB: 500, EstimateMS: 100}}) {
 				return nil, fmt.Errorf("a job was not accepted")
@@ -224,10 +227,17 @@
 	return []string{found}, nil
 }
 
+// Of the jobs of the last 3 s, 2 of 45 (0.044) can never be done.
+const (
+	goodJobs     = 43
+	goodInterval = 50 * time.Millisecond
+	badJobs      = 2
+)
+
 const (
 	finish    = 14 * time.Second // finish_s
 	waitBound = 3 * time.Second
-	longer    = 30 * time.Second
+	longer    = 12 * time.Second
 )
 
 // runsOf returns how many runs the job's tasks have had.
@@ -318,24 +328,25 @@
 	cancelBound = 3200 * time.Millisecond // cancel_ms + stop_timeout_ms
 )
 
-// playPowerFlaps: all workers are in one rack, which loses its power some times in a row.
+// playPowerFlaps: one of three racks, whose workers are the only ones of their kind, loses its power some times in a row. The
+// jobs require this kind.
 func playPowerFlaps(d *deployment, trouble bool) ([]string, error) {
 	c := &client{d: d}
 	var ids []string
 	for number := range 4 {
 		ids = append(ids, fmt.Sprintf("%016x", 0xf0000+number))
-		if !c.submitUntil(ids[number], "ms=1500", []step{{Count: 2, CPU: 2000, MemMB: 1000, EstimateMS: 1500}}) {
+		if !c.submitUntil(ids[number], "ms=1500", []step{{Count: 2, CPU: 2000, MemMB: 1000, EstimateMS: 1500, Requirements: rackKind}}) {
 			return nil, fmt.Errorf("a job was not accepted")
 		}
 	}
 	if trouble {
 		for range outages {
 			time.Sleep(powerFor)
-			for _, w := range d.workers {
+			for _, w := range d.workers[:rackSize] {
 				w.crash()
 			}
 			time.Sleep(outageFor)
-			for _, w := range d.workers {
+			for _, w := range d.workers[:rackSize] {
 				if err := w.start(); err != nil {
 					return nil, err
 				}
--- a/review/standins/platform.go
+++ b/review/standins/platform.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// rackKind is the kind of the workers of the first rack after setKind.
+const rackKind = "b"
+
+// setKind gives the workers of the first rack another kind.
+func (d *deployment) setKind(kind string) {
+	for _, w := range d.workers[:rackSize] {
+		w.kind = kind
+		w.register()
+	}
+}
+
 // serveMachines lists the workers' machines. It refuses moves: the only service has no other pool to move to or from.
 func (d *deployment) serveMachines(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet {
@@ -108,7 +119,7 @@
 	rows := []map[string]any{}
 	for _, worker := range d.workers {
 		rows = append(rows, map[string]any{
-			"machine": worker.machine, "pool": service, "phase": "up", "zone": worker.zone, "labels": []string{"a", worker.rack},
+			"machine": worker.machine, "pool": service, "phase": "up", "zone": worker.zone, "labels": []string{worker.kind, worker.rack},
 			"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemMB, "gpu": 0}, "id": worker.id,
 		})
 	}
@@ -181,14 +192,15 @@
 }
 
 type step struct {
-	Count        int   `json:"count"`
-	CPU          int   `json:"cpu,omitempty"`
-	MemMB        int   `json:"mem_mb,omitempty"`
-	EstimateMS   int   `json:"estimate_ms,omitempty"`
-	AntiAffinity int   `json:"anti_affinity,omitempty"`
-	LongRunning  bool  `json:"long_running,omitempty"`
-	MayMiss      int   `json:"may_miss,omitempty"`
-	After        []int `json:"after,omitempty"`
+	Count        int    `json:"count"`
+	Requirements string `json:"requirements,omitempty"`
+	CPU          int    `json:"cpu,omitempty"`
+	MemMB        int    `json:"mem_mb,omitempty"`
+	EstimateMS   int    `json:"estimate_ms,omitempty"`
+	AntiAffinity int    `json:"anti_affinity,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	MayMiss      int    `json:"may_miss,omitempty"`
+	After        []int  `json:"after,omitempty"`
 }
 
 // client calls the entry hosts in turn.
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -35,7 +35,7 @@
 // (rejects_overload is false). A task's spec says how long it runs, for example "ms=800", "ms=800 fail" or "lasts".
 type worker struct {
 	id, service, zone, address string
-	machine, rack              string
+	machine, rack, kind        string
 	store                      *store
 	log                        *record
 
@@ -68,7 +68,7 @@
 )
 
 func newWorker(id, service, zone, rack string, s *store, log *record) *worker {
-	w := &worker{id: id, service: service, zone: zone, rack: rack, machine: "m-" + id, store: s, log: log, conns: map[net.Conn]struct{}{}}
+	w := &worker{id: id, service: service, zone: zone, rack: rack, kind: "a", machine: "m-" + id, store: s, log: log, conns: map[net.Conn]struct{}{}}
 	go func() {
 		for range time.Tick(5 * time.Millisecond) {
 			w.tick()
@@ -109,7 +109,7 @@
 		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "phase": "ready",
 		"cold_remaining_ms": 0, "sequence": 1, "born": w.born.UnixMilli(), "machine": w.machine,
 		"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemMB, "gpu": 0},
-		"labels":   []string{"a", w.rack},
+		"labels":   []string{w.kind, w.rack},
 	}
 }
 
