schedule: failing jobs do not close a pool for others

Cause: (1) after a quarantine an upstream took a task only if it had no run at all; a long-running task never ends, so the upstream stayed closed until the ownership changed. (2) Nothing asked whether an upstream stands alone with its failures: failures of runs that had begun before prolonged each quarantine to 12 s within a tenth of a second, on all upstreams. Evidence: logs of the case on: 'tasks wait' with usable 0 for 12.6 s, then usable 3 of 3 with for_room 13, 15 free cores each and no start until the end; no further quarantine in that time.

Change: the trial of an upstream is the last run that was started since the quarantine, for 2 s at most; runs from before do not count. A long-running task at work after 2 s is a success. While most upstreams that could run the same tasks are on trial, a quarantine is not longer than the first. 'tasks wait' has the number of upstreams on trial.

--- a/schedule/backlog.go
+++ b/schedule/backlog.go
@@ -32,16 +32,20 @@
 	if b.oldestPart == nil || b.oldest < starvedAfter {
 		return
 	}
-	unreconciled := 0
+	unreconciled, onTrial := 0, 0
 	for _, up := range p.upstreams.all() {
 		if !up.reconciled {
 			unreconciled++
 		}
+		if up.health.quarantines > 0 {
+			onTrial++
+		}
 	}
 	c.Log("tasks wait", "pool", p.name, "for_room", b.capacity, "for_cap", b.cap, "may_run_unseen", b.unseen,
 		"oldest_ms", b.oldest.Milliseconds(), "oldest_job", b.oldestPart.job.ID, "cpu", b.oldestPart.step.Request.MilliCPU,
 		"memory_mb", b.oldestPart.step.Request.MemoryMB, "label", b.oldestPart.step.Label, "rack", b.oldestPart.step.Rack,
-		"per_host", b.oldestPart.step.MaxPerUpstream, "gang", b.oldestPart.step.Gang, "usable", usable, "upstreams", p.upstreams.len(), "unsettled", unreconciled)
+		"per_host", b.oldestPart.step.MaxPerUpstream, "gang", b.oldestPart.step.Gang, "usable", usable, "upstreams", p.upstreams.len(),
+		"on_trial", onTrial, "unsettled", unreconciled)
 }
 
 func (c *Core) countWaiting(b *backlog, p *part, t *task) {
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"citrongauge.example/citrongauge/job"
@@ -14,6 +15,9 @@
 	maxQuarantine        = 12 * time.Second
 	suspensionTime       = 400 * time.Millisecond // after a command that was rejected or could not be sent
 	failurePenalty       = 0.3                    // subtracted from the placement score for each consecutive failure
+	// trialTime is how long after a quarantine the next task waits for the end of the one before. A long-running task that
+	// is at work this long after its start counts as a success.
+	trialTime = 2 * time.Second
 )
 
 // health tracks an upstream's recent failures.
@@ -23,11 +27,12 @@
 	jobChanges          int // number of job changes in the current series of failures
 	excludedUntil       time.Duration
 	quarantines         int // since the last success
+	// quarantinedAt is when the last of the quarantines began, and trial the run that was started last since then; nil: none.
+	quarantinedAt time.Duration
+	trial         *run
 }
 
-func (h *health) recordSuccess() {
-	h.consecutiveFailures, h.jobChanges, h.quarantines, h.lastJob = 0, 0, 0, ""
-}
+func (h *health) recordSuccess() { *h = health{excludedUntil: h.excludedUntil} }
 
 func (h *health) recordFailure(c *Core, up *upstream, id job.ID) {
 	h.consecutiveFailures++
@@ -43,16 +48,69 @@
 func (h *health) quarantine(c *Core, up *upstream, reason string) {
 	delay := min(baseQuarantine<<min(h.quarantines, 4), maxQuarantine)
 	h.quarantines++
+	if c.mostQuarantined(up) {
+		delay = baseQuarantine
+	}
 	h.excludedUntil = c.now + delay
 	h.consecutiveFailures, h.jobChanges = 0, 0
+	h.quarantinedAt, h.trial = c.now, nil
 	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", delay.Milliseconds(), "spells", h.quarantines)
 }
 
+// mostQuarantined reports whether more than half of the upstreams that could run the same tasks have been in quarantine
+// since their last success: those of the pool, or those with one of the upstream's labels but its rack. The failures are
+// then rather the fault of the tasks, and others must not wait long for an upstream.
+func (c *Core) mostQuarantined(up *upstream) bool {
+	return c.mostQuarantinedWith(up, "") || slices.ContainsFunc(up.Labels, func(label string) bool {
+		return label != up.rack && c.mostQuarantinedWith(up, label)
+	})
+}
+
+// mostQuarantinedWith considers the upstreams of up's pool that have the label; all for "".
+func (c *Core) mostQuarantinedWith(up *upstream, label string) bool {
+	quarantined, all := 0, 0
+	for _, other := range c.pool(up.Pool).byID {
+		if other != up && (!other.listed || !other.fenced || other.terminated || other.failedPolls > 0) {
+			continue
+		}
+		if label != "" && !slices.Contains(other.Labels, label) {
+			continue
+		}
+		all++
+		if other.health.quarantines > 0 {
+			quarantined++
+		}
+	}
+	return 2*quarantined > all
+}
+
 func (h *health) isExcluded(now time.Duration) bool { return now < h.excludedUntil }
 
-// allowsStart reports whether one more task may be started. After a quarantine only one task runs at a time until one
-// succeeds.
-func (h *health) allowsStart(activeRuns int) bool { return h.quarantines == 0 || activeRuns == 0 }
+// allowsStart reports whether one more task may be started. After a quarantine tasks are started one after another until
+// one succeeds. Runs that began before the quarantine do not count, and a run that lasts counts for trialTime: otherwise
+// an upstream with a long-running task would stay closed.
+func (h *health) allowsStart(now time.Duration) bool {
+	return h.quarantines == 0 || h.trial == nil || h.trial.detached || now-h.trial.started >= trialTime
+}
+
+// noteStart records a run that is started after a quarantine.
+func (h *health) noteStart(r *run) {
+	if h.quarantines > 0 {
+		h.trial = r
+	}
+}
+
+// noteAtWork records a success of the run's upstream once the run, of a long-running task, has been started for
+// trialTime and is at work: no end will show that the upstream works again.
+func (r *run) noteAtWork() {
+	h := &r.up.health
+	if h.quarantines == 0 || r.started < h.quarantinedAt || !r.part.step.LongRunning || r.state != runRunning {
+		return
+	}
+	if r.progress >= fullPercent && r.begunMS != 0 && r.up.clockMS-r.begunMS >= trialTime.Milliseconds() {
+		h.recordSuccess()
+	}
+}
 
 func (h *health) penalty() float64 { return failurePenalty * float64(h.consecutiveFailures) }
 
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -109,7 +109,7 @@
 // mayHold reports whether a task of the part may run on the upstream once other runs there have ended.
 func (c *Core) mayHold(p *part, up *upstream) bool {
 	reserved := p.step.ReservedResources()
-	return reserved.Fits(up.Capacity) && c.admits(p, up) && up.health.allowsStart(up.runs.len()) &&
+	return reserved.Fits(up.Capacity) && c.admits(p, up) && up.health.allowsStart(c.now) &&
 		(p.step.MaxPerUpstream == 0 || p.perUpstream[up.ID] < p.step.MaxPerUpstream)
 }
 
@@ -402,7 +402,7 @@
 		if waitForRack && up.rack != p.step.Rack && hasRack(usable, p.step.Rack) {
 			continue // prefer to wait for the rack of the data for up to one expected task duration
 		}
-		if !up.health.allowsStart(up.runs.len()) {
+		if !up.health.allowsStart(c.now) {
 			continue
 		}
 		score := c.score(p, t, up)
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -10,6 +10,7 @@
 	r.lastListed = seq
 	r.gauge, r.progress = row.Gauge, row.Percent
 	c.clearSuspicion(r)
+	r.noteAtWork()
 	if row.Checkpoint != "" && row.Checkpoint != r.checkpoint {
 		r.checkpoint = row.Checkpoint
 		r.task().checkpoint = row.Checkpoint
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -79,6 +79,7 @@
 	}
 	t.lastAttempt = attempt
 	c.attach(r)
+	up.health.noteStart(r)
 	if !p.job.hasStarted {
 		p.job.hasStarted = true
 	}
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -44,6 +44,7 @@
 	cancelled   bool
 	cancelledAt time.Duration
 	deadly      bool // its first task crashes each upstream that starts it
+	bad         bool // all its runs fail
 }
 
 // crashes reports whether the task crashes each upstream that starts it.
--- a/schedule/simupstream_test.go
+++ b/schedule/simupstream_test.go
@@ -165,7 +165,7 @@
 	duration := time.Duration(rapid.IntRange(100, 2500).Draw(sim.t, "ms")) * time.Millisecond
 	u.running[command.Task] = &simRun{
 		attempt: command.Attempt, until: sim.now + duration, reserved: step.ReservedResources(), step: step,
-		fails: !s.crashes(command.Task) && !sim.faultsEnded && (u.failsAll || rapid.IntRange(0, 19).Draw(sim.t, "fails") == 0),
+		fails: s.bad || !s.crashes(command.Task) && !sim.faultsEnded && (u.failsAll || rapid.IntRange(0, 19).Draw(sim.t, "fails") == 0),
 	}
 	if s.crashes(command.Task) {
 		u.crash(sim)
