schedule, platform: a list of ends that may be incomplete proves nothing lost

Cause: an upstream lists 500 ends at a time. The owner took each answer for complete: a run in neither list was taken for lost and its task started again; a new owner took the upstream for reconciled and started tasks whose ends were not listed. Evidence: record of the case: the first answer after the cut lists no run and 500 of 700 ends, 200 starts follow at once, and the ends of the same 200 come with the next answer.

Change: platform says whether more ends may follow. While they may, runs that are listed nowhere are left alone, the upstream is polled on, and it is not reconciled while it answers. If it stops answering, the lease decides as before. Why it works: 'lost' now needs an answer that lists all ends; every such run is then listed as running, as ended, or was never there.

--- a/schedule/simchecks_test.go
+++ b/schedule/simchecks_test.go
@@ -12,9 +12,10 @@
 type taskHistory struct {
 	doneAcked bool // a success was acknowledged, and the lease did not expire between the end and the acknowledgement
 	done      bool
-	failed    int // number of acknowledged failures
-	failures  int // number of failures
-	crashes   int // number of upstreams that crashed while it ran there
+	startedAt time.Duration // when it was started last
+	failed    int           // number of acknowledged failures
+	failures  int           // number of failures
+	crashes   int           // number of upstreams that crashed while it ran there
 	// calledTo is the upstream to which its last start was sent, and lostCalls the number of upstreams that crashed after
 	// that, whether or not the start had arrived.
 	calledTo  string
@@ -60,6 +61,9 @@
 	switch end.Kind {
 	case platform.EndDone:
 		history.doneAcked = history.doneAcked || !end.expired
+		if !end.expired && history.startedAt > end.at {
+			sim.fail("TWICE: %s was started after its success, which was acknowledged later", end.Task)
+		}
 	case platform.EndFailed:
 		history.failed++
 	}
@@ -96,6 +100,7 @@
 func (sim *simulation) checkStart(u *simUpstream, command platform.StartCommand) {
 	sim.starts++
 	history := sim.historyOf(command.Task)
+	history.startedAt = sim.now
 	s := sim.stored[command.Task.Job]
 	if s == nil {
 		sim.fail("UNASKED: %s of a job that nobody submitted", command.Task)
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -34,6 +34,7 @@
 	faultsEnded    bool
 	lateCall       bool // the call being executed was delayed by its upstream
 	starts         int
+	maxEnds        int // number of ends that an upstream lists at a time
 }
 
 // storedJob is the state of a job in the store.
@@ -78,6 +79,7 @@
 	sim := &simulation{
 		t: t, now: time.Hour, stored: map[job.ID]*storedJob{}, observed: map[job.TaskID]*taskHistory{}, revision: 10,
 		teamCap: job.Resources{MilliCPU: int64(rapid.SampledFrom([]int{0, 3000, 6000}).Draw(t, "cap"))},
+		maxEnds: rapid.SampledFrom([]int{2, 500}).Draw(t, "ends listed"),
 	}
 	for i := range upstreams {
 		u := &simUpstream{
--- a/schedule/simupstream_test.go
+++ b/schedule/simupstream_test.go
@@ -40,7 +40,8 @@
 
 type simEnd struct {
 	platform.EndedRun
-	expired bool // the lease has expired since the end
+	at      time.Duration // when the run ended
+	expired bool          // the lease has expired since the end
 }
 
 func (u *simUpstream) start(sim *simulation, startedMS int64) {
@@ -83,7 +84,7 @@
 	delete(u.running, id)
 	u.seq++
 	u.endedAttempts[id] = max(u.endedAttempts[id], r.attempt)
-	u.ends = append(u.ends, simEnd{EndedRun: platform.EndedRun{Seq: u.seq, Task: id, Attempt: r.attempt, Kind: kind}})
+	u.ends = append(u.ends, simEnd{at: sim.now, EndedRun: platform.EndedRun{Seq: u.seq, Task: id, Attempt: r.attempt, Kind: kind}})
 	switch kind {
 	case platform.EndDone:
 		sim.historyOf(id).done = true
@@ -203,8 +204,9 @@
 	for _, id := range sortedTasks(u.running) {
 		result.Running = append(result.Running, platform.CurrentRun{Task: id, Attempt: u.running[id].attempt, Percent: 100})
 	}
-	for _, end := range u.ends {
+	for _, end := range u.ends[:min(len(u.ends), sim.maxEnds)] {
 		result.Ended = append(result.Ended, end.EndedRun)
 	}
+	result.MoreEnds = len(u.ends) >= sim.maxEnds
 	return result, nil
 }
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -42,6 +42,7 @@
 	lastResponseAt time.Duration // time of the last response to a poll
 
 	lastHandledEnd uint64 // sequence number of the last end that was handled
+	moreEnds       bool   // the last response may not have listed all ends
 	ackable        uint64 // highest end that may be acknowledged
 	ackConfirmed   uint64 // highest end whose acknowledgement was answered
 	pendingAcks    []pendingAck
@@ -230,7 +231,7 @@
 	up.lastHandledEnd, up.ackable, up.ackConfirmed, up.pendingAcks = 0, 0, 0, nil
 	// An upstream that this owner has not fenced yet may have restarted before an earlier owner started tasks there.
 	up.reconciled = up.reconciled || up.fenced
-	up.fenced, up.terminated, up.cordoned, up.maxDeadline, up.clockMS = false, false, false, 0, 0
+	up.fenced, up.terminated, up.cordoned, up.moreEnds, up.maxDeadline, up.clockMS = false, false, false, false, 0, 0
 	up.nextPoll = c.now
 	up.health = health{}
 }
@@ -273,7 +274,7 @@
 // expireLeases handles upstreams whose lease must have expired, and removes those that are no longer needed.
 func (c *Core) expireLeases() {
 	for _, up := range c.upstreams.all() {
-		if !up.reconciled && c.now > c.Claimed+c.inheritedLease() {
+		if !up.reconciled && !up.isListingEnds() && c.now > c.Claimed+c.inheritedLease() {
 			up.reconciled = true
 			c.Log("lease of an earlier owner has expired", "upstream", up.ID)
 			c.countUnseenCrash(up)
@@ -287,11 +288,15 @@
 	}
 }
 
-// isIdle reports whether an upstream without runs of known jobs has no runs of unknown jobs, no end to be
+// isListingEnds reports whether the upstream answers, but has not listed all ends yet. A run that it lists nowhere may
+// have ended.
+func (u *upstream) isListingEnds() bool { return u.moreEnds && u.failedPolls == 0 }
+
+// isIdle reports whether an upstream without runs of known jobs has no runs of unknown jobs, no end to be listed or
 // acknowledged and no poll in flight. If it has no entry in the store either, nothing can start there: this owner
 // starts nothing on it, and earlier owners are fenced off.
 func (u *upstream) isIdle() bool {
-	return u.fenced && !u.polling && u.unknownRuns == 0 && u.ackable <= u.ackConfirmed
+	return u.fenced && !u.polling && u.unknownRuns == 0 && !u.moreEnds && u.ackable <= u.ackConfirmed
 }
 
 // inheritedLease returns how long after the claim an earlier owner's runs may continue unseen.
@@ -345,7 +350,7 @@
 	switch {
 	case !up.fenced:
 		return up.listed || up.stored
-	case up.runs.len() > 0 || up.unknownRuns > 0 || up.pollWhenIdle:
+	case up.runs.len() > 0 || up.unknownRuns > 0 || up.moreEnds || up.pollWhenIdle:
 		return true
 	case up.failedPolls > 0 && up.listed:
 		return true // the upstream is not used until it answers
@@ -398,7 +403,12 @@
 		c.Log("unreadable rows in an upstream's lists", "upstream", up.ID, "rows", result.MalformedRows)
 	}
 	first := !up.fenced
-	up.fenced, up.reconciled = true, true
+	if result.MoreEnds && !up.moreEnds {
+		c.Log("upstream has more ends than it lists", "upstream", up.ID, "listed", len(result.Ended), "runs", up.runs.len(),
+			"reconciled", up.reconciled)
+	}
+	up.fenced, up.moreEnds = true, result.MoreEnds
+	up.reconciled = up.reconciled || !result.MoreEnds
 	up.readClock(result.ClockMS, c.now)
 	up.ackConfirmed = max(up.ackConfirmed, poll.Request.AckedSeq)
 	c.handleEnds(up, result.Ended)
@@ -473,7 +483,8 @@
 	up.advanceAck(c.durableBatch)
 }
 
-// handleRunning compares an upstream's running list with the known runs.
+// handleRunning compares an upstream's running list with the known runs. Runs that are not listed are left alone while
+// there may be more ends.
 func (c *Core) handleRunning(up *upstream, running []platform.CurrentRun, seq uint64) {
 	up.unknownRuns = 0
 	for _, row := range running {
@@ -486,6 +497,9 @@
 		}
 		r.updateFromList(c, row, seq)
 	}
+	if up.moreEnds {
+		return
+	}
 	for _, r := range up.runs.all() {
 		if r.lastListed == seq || r.pollSeqAtReturn >= seq || r.state == runPlanned {
 			continue
--- a/testbed/fleet/upstream.go
+++ b/testbed/fleet/upstream.go
@@ -67,6 +67,7 @@
 const (
 	capacityMilliCPU = 16000
 	capacityMemoryMB = 64000
+	maxListedEnds    = 500 // in one response to a poll
 	tickInterval     = 5 * time.Millisecond
 )
 
@@ -290,7 +291,7 @@
 	}
 	sort.Slice(running, func(i, j int) bool { return fmt.Sprint(running[i][0]) < fmt.Sprint(running[j][0]) })
 	finished := [][]any{}
-	for _, e := range u.ends {
+	for _, e := range u.ends[:min(len(u.ends), maxListedEnds)] {
 		finished = append(finished, []any{e.seq, e.task, e.attempt, e.kind, ""})
 	}
 	writeJSON(w, map[string]any{
