ledger: a cancel of a job that is not stored keeps it from being stored later

Cause: 410 came from a read and left nothing behind. A submission expected only that its job's key does not exist, so a copy that the store executed after the read created the job.

Change: DELETE stores the cancellation on condition that the job does not exist, a submission expects that there is no cancellation; a refused one gets 410, code 2311. Why it works: the two transactions exclude each other, so whichever the store executes first, the job is cancelled or never exists, however late a copy comes.

--- a/entry/server.go
+++ b/entry/server.go
@@ -263,6 +263,8 @@
 				s.announce(announce.Message{Job: j, Created: created})
 			}
 			return response{outcome: accepted, logFields: logFields}
+		case errors.Is(err, ledger.ErrCancelled):
+			return response{outcome: cancelledBefore, logFields: logFields}
 		case errors.Is(err, ledger.ErrStaleBundle):
 			if rejection := s.readmit(refreshCtx, &c, request); rejection != nil {
 				return *rejection
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -5,7 +5,7 @@
 // Keys:
 //
 //	cg/job/ID           the job as submitted; written once, by the host that accepts it
-//	cg/job/ID/cancel    present once a client has cancelled the job
+//	cg/job/ID/cancel    present once a client has cancelled the job, also if there is no such job
 //	cg/job/ID/progress  written by the owner
 //	cg/owner            the host that owns the fleet; bound to the owner's lease
 //	cg/chain            replaced by each claim and each write of an owner, which are conditioned on its revision
@@ -54,6 +54,8 @@
 	ErrStaleBundle = errors.New("configuration has changed")
 	// ErrNoJob: no such job exists. It is returned only on the store's response, never on a failure to get one.
 	ErrNoJob = errors.New("no such job")
+	// ErrCancelled: the job was cancelled before it was stored, and is not stored.
+	ErrCancelled = errors.New("job was cancelled before it was stored")
 	// ErrOwnershipLost: another owner has taken over, or this ownership has ended.
 	ErrOwnershipLost = errors.New("no longer the owner")
 )
@@ -66,8 +68,10 @@
 
 func jobKey(id job.ID) string { return JobPrefix + string(id) }
 
-// Submit stores a new job, on condition that the bundle is still at bundleRevision. It returns the revision at which
-// the job was stored, or 0 if the job already existed and nothing changed. After platform.ErrOutcomeUnknown the job
+func cancelKey(id job.ID) string { return jobKey(id) + cancelSuffix }
+
+// Submit stores a new job, on condition that the bundle is still at bundleRevision and that the job has not been cancelled.
+// It returns the revision at which the job was stored, or 0 if the job already existed and nothing changed. After platform.ErrOutcomeUnknown the job
 // may exist; after any other error it does not, unless an earlier submission has stored it.
 func (l *Ledger) Submit(ctx context.Context, j *job.Job, bundleRevision uint64) (created uint64, err error) {
 	value, err := job.Encode(j)
@@ -76,7 +80,7 @@
 	}
 	key := jobKey(j.ID)
 	txn := platform.Txn{
-		If:  []platform.Condition{{Key: key}, {Key: platform.BundleKey, Revision: bundleRevision}},
+		If:  []platform.Condition{{Key: key}, {Key: cancelKey(j.ID)}, {Key: platform.BundleKey, Revision: bundleRevision}},
 		Set: []platform.Write{{Key: key, Value: value}},
 	}
 	err = l.retry(ctx, func(timeout time.Duration) error {
@@ -87,10 +91,11 @@
 	if !errors.As(err, &conflict) {
 		return created, err
 	}
-	for _, item := range conflict.Items {
-		if item.Key == key && item.Revision != 0 {
-			return 0, nil
-		}
+	switch {
+	case conflict.Exists(key):
+		return 0, nil
+	case conflict.Exists(cancelKey(j.ID)):
+		return 0, ErrCancelled
 	}
 	return 0, ErrStaleBundle
 }
@@ -134,15 +139,17 @@
 
 // StoredJob is a job's state as stored, without the job itself.
 type StoredJob struct {
-	Created   uint64 // revision at which the job was stored
+	Created   uint64 // revision at which the job was stored; 0: there is no such job
 	Cancelled bool
 	Progress  *job.Progress // nil: none is stored
 }
 
+func (s StoredJob) hasEnded() bool { return s.Progress != nil && s.Progress.Phase.Terminal() }
+
 // Phase returns the job's phase as reported to clients: a stored cancellation counts unless the job has ended.
 func (s StoredJob) Phase() job.Phase {
 	switch {
-	case s.Progress != nil && s.Progress.Phase.Terminal():
+	case s.hasEnded():
 		return s.Progress.Phase
 	case s.Cancelled:
 		return job.Cancelled
@@ -154,6 +161,15 @@
 
 // Lookup returns a job's stored state, or ErrNoJob.
 func (l *Ledger) Lookup(ctx context.Context, id job.ID) (StoredJob, error) {
+	stored, err := l.read(ctx, id)
+	if err == nil && stored.Created == 0 {
+		return StoredJob{}, ErrNoJob
+	}
+	return stored, err
+}
+
+// read returns what is stored under a job's ID.
+func (l *Ledger) read(ctx context.Context, id job.ID) (StoredJob, error) {
 	var page platform.Page
 	err := l.retryRead(ctx, func(timeout time.Duration) (err error) {
 		page, err = l.kv.Range(ctx, jobKey(id), "", timeout)
@@ -167,7 +183,7 @@
 		switch item.Key {
 		case jobKey(id):
 			stored.Created = item.CreateRevision
-		case jobKey(id) + cancelSuffix:
+		case cancelKey(id):
 			stored.Cancelled = true
 		case jobKey(id) + progressSuffix:
 			stored.Progress = &job.Progress{}
@@ -176,9 +192,6 @@
 			}
 		}
 	}
-	if stored.Created == 0 {
-		return StoredJob{}, ErrNoJob
-	}
 	return stored, nil
 }
 
@@ -193,32 +206,51 @@
 	}
 }
 
-// Cancel stores the cancellation of a job, or returns ErrNoJob. It does not change a job that has ended.
+// Cancel stores the cancellation of a job. It does not change a job that has ended. If there is no such job it stores the
+// cancellation as well and returns ErrNoJob: the store may still execute a submission of the job, which then fails.
 func (l *Ledger) Cancel(ctx context.Context, id job.ID) error {
 	for {
-		stored, err := l.Lookup(ctx, id)
+		stored, err := l.read(ctx, id)
 		if err != nil {
 			return err
 		}
-		if stored.Cancelled || (stored.Progress != nil && stored.Progress.Phase.Terminal()) {
-			return nil
-		}
-		txn := platform.Txn{
-			If:  []platform.Condition{{Key: jobKey(id), Revision: stored.Created}},
-			Set: []platform.Write{{Key: jobKey(id) + cancelSuffix, Value: []byte{1}}},
+		if !stored.Cancelled && !stored.hasEnded() {
+			err = l.writeCancellation(ctx, id, stored.Created)
 		}
-		err = l.retry(ctx, func(timeout time.Duration) error {
-			_, err := l.kv.Txn(ctx, txn, timeout)
-			return err
-		})
 		var conflict *platform.ConflictError
-		if !errors.As(err, &conflict) {
+		switch {
+		case errors.As(err, &conflict):
+			continue // the job was stored after the read, or removed because its retention had expired
+		case err != nil:
 			return err
+		case stored.Created == 0:
+			return ErrNoJob
 		}
-		// The job was removed after the lookup because its retention has expired. The next lookup returns ErrNoJob.
+		return nil
 	}
 }
 
+// cancellation is the value of cg/job/ID/cancel. Earlier versions stored another value.
+type cancellation struct {
+	AtMS int64 `cbor:"1,keyasint"` // Unix milliseconds
+}
+
+// writeCancellation stores the cancellation of a job that was stored at the given revision; 0: that is not stored.
+func (l *Ledger) writeCancellation(ctx context.Context, id job.ID, created uint64) error {
+	value, err := job.Encode(cancellation{AtMS: clock.WallMS()})
+	if err != nil {
+		return errors.Wrapf(platform.ErrNotExecuted, "%v", err)
+	}
+	txn := platform.Txn{
+		If:  []platform.Condition{{Key: jobKey(id), Revision: created}},
+		Set: []platform.Write{{Key: cancelKey(id), Value: value}},
+	}
+	return l.retry(ctx, func(timeout time.Duration) error {
+		_, err := l.kv.Txn(ctx, txn, timeout)
+		return err
+	})
+}
+
 // Change is the content of one or more of a job's records.
 type Change struct {
 	ID job.ID
@@ -226,7 +258,9 @@
 	Job       *job.Job
 	Created   uint64 // revision at which the record was created
 	Cancelled bool
-	Progress  *job.Progress
+	// CancelledMS is when the job was cancelled, in Unix milliseconds; 0: not known.
+	CancelledMS int64
+	Progress    *job.Progress
 }
 
 // DecodeJobItem decodes an item under JobPrefix. ok is false if the key is not one of the ledger's or the value
@@ -247,6 +281,10 @@
 			err = change.Job.Check()
 		}
 	case "cancel":
+		var record cancellation
+		if job.Decode(item.Value, &record) == nil { // otherwise an earlier version has stored it
+			change.CancelledMS = record.AtMS
+		}
 		change.Cancelled = true
 	case "progress":
 		change.Progress = &job.Progress{}
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -216,7 +216,7 @@
 		txn.Set = append(txn.Set, platform.Write{Key: jobKey(id) + progressSuffix, Value: value})
 	}
 	for _, id := range write.Remove {
-		txn.Remove = append(txn.Remove, jobKey(id), jobKey(id)+cancelSuffix, jobKey(id)+progressSuffix)
+		txn.Remove = append(txn.Remove, jobKey(id), cancelKey(id), jobKey(id)+progressSuffix)
 	}
 	txn.Remove = append(txn.Remove, write.RemoveKeys...)
 	return txn, nil
--- a/owner/load.go
+++ b/owner/load.go
@@ -152,7 +152,9 @@
 		if change.Progress != nil {
 			entry.Progress = change.Progress
 		}
-		entry.Cancelled = entry.Cancelled || change.Cancelled
+		if change.Cancelled {
+			entry.Cancelled, entry.CancelledMS = true, change.CancelledMS
+		}
 	}
 	for _, id := range order {
 		s.addJob(*found[id])
@@ -161,6 +163,9 @@
 
 func (s *session) addJob(change ledger.Change) {
 	if change.Job == nil {
+		if change.Cancelled {
+			s.core.CancellationStored(change.ID, change.CancelledMS)
+		}
 		return
 	}
 	inherited := change.Created < s.ownership.Token
@@ -206,7 +211,7 @@
 		case change.Job != nil:
 			s.addJob(change)
 		case change.Cancelled:
-			s.core.Cancel(change.ID)
+			s.core.CancellationStored(change.ID, change.CancelledMS)
 		}
 	}
 }
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -284,6 +284,23 @@
 	c.endJob(j, job.Cancelled, "cancelled by its client")
 }
 
+// CancellationStored handles the stored cancellation of a job, at the given time in Unix milliseconds (0: not known). If
+// the store has no such job, the cancellation is kept for as long as an ended job, so that a late submission fails.
+func (c *Core) CancellationStored(id job.ID, atMS int64) {
+	if _, known := c.jobs.lookup(id); known {
+		c.Cancel(id)
+		return
+	}
+	if _, ended := c.retiredIDs[id]; ended {
+		return
+	}
+	if atMS <= 0 || atMS > c.wallMS {
+		atMS = c.wallMS
+	}
+	c.Log("cancellation without a job", "job", id, "age_ms", c.wallMS-atMS)
+	c.retire(id, atMS)
+}
+
 // endJob sets a job's terminal phase, stops its runs and marks its progress for storing.
 func (c *Core) endJob(j *jobState, phase job.Phase, reason string) {
 	j.phase, j.endedMS = phase, c.wallMS
--- a/testbed/fleet/entry_test.go
+++ b/testbed/fleet/entry_test.go
@@ -169,6 +169,11 @@
 	h.waitPhase(jobID(1), "cancelled")
 	status, _ = h.call(http.MethodDelete, jobID(2), "", teamKey)
 	is.Equal(status, http.StatusGone)
+	status, body := h.call(http.MethodPost, jobID(2), endless, teamKey) // a copy that was under way when it was cancelled
+	is.Equal(status, http.StatusGone)
+	is.True(strings.Contains(body, "2311"))
+	status, _ = h.call(http.MethodGet, jobID(2), "", teamKey)
+	is.Equal(status, http.StatusGone)
 }
 
 // TestRejectionStatusCodes guards against 401 or 404 from a host that cannot read the newest configuration, and against
@@ -268,3 +273,25 @@
 	}
 	h.t.Fatalf("job %s has not succeeded", id)
 }
+
+// TestCancellationWithoutJobLeavesTheStore guards against cancellations of jobs that the store never had and that stay there
+// for ever: one that the owner finds when it reads the state, of an earlier version, and one that its watch delivers.
+func TestCancellationWithoutJobLeavesTheStore(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	defer f.Close()
+	found, watched := "cg/job/"+jobID(1)+"/cancel", "cg/job/"+jobID(2)+"/cancel"
+	f.Store.Put(found, []byte{1})
+	h := addHost(t, f, "edge-1", func(s *platform.Settings) { s.Bounds.Retention = 500 * time.Millisecond })
+	defer h.stop()
+	status, _ := h.call(http.MethodDelete, jobID(2), "", teamKey)
+	is.Equal(status, http.StatusGone)
+	is.True(f.Store.Value(watched) != nil)
+	for range 250 {
+		if f.Store.Value(found) == nil && f.Store.Value(watched) == nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("still stored 5 s later")
+}
--- a/testbed/fleet/ledger_test.go
+++ b/testbed/fleet/ledger_test.go
@@ -1,7 +1,9 @@
 package fleet_test
 
 import (
+	"context"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,3 +105,53 @@
 	is.NoErr(err)
 	is.Equal(view.Phase(), job.Cancelled)
 }
+
+// TestLateWriteOfCancelledJobChangesNothing guards against a job that is created after its cancellation was answered with
+// 410: the store executed a copy of the submission late (UNASKED, review/4).
+func TestLateWriteOfCancelledJobChangesNothing(t *testing.T) {
+	is := is.New(t)
+	store, _, l := newLedger(t)
+	j := &job.Job{ID: "00000000000000aa", Steps: []job.Step{{Count: 1}}}
+	store.SetFaults(fleet.StoreFaults{LateBy: 600 * time.Millisecond, LatePrefix: ledger.JobPrefix})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := l.Submit(ctx, j, 0)
+	is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+	store.SetFaults(fleet.StoreFaults{})
+	is.True(errors.Is(l.Cancel(t.Context(), j.ID), ledger.ErrNoJob))
+	is.True(errors.Is(l.Cancel(t.Context(), j.ID), ledger.ErrNoJob)) // a repeat is answered alike
+	time.Sleep(time.Second)
+	is.Equal(store.Value(ledger.JobPrefix+string(j.ID)), nil)
+	_, err = l.Lookup(t.Context(), j.ID)
+	is.True(errors.Is(err, ledger.ErrNoJob))
+	_, err = l.Submit(t.Context(), j, 0)
+	is.True(errors.Is(err, ledger.ErrCancelled))
+}
+
+// TestCancelMeetsSubmission guards against the same with a submission in progress: whichever of the two the store executes
+// first, a job that it has is cancelled.
+func TestCancelMeetsSubmission(t *testing.T) {
+	is := is.New(t)
+	_, _, l := newLedger(t)
+	var calls sync.WaitGroup
+	unknown := 0
+	for n := range 60 {
+		j := &job.Job{ID: job.ID(jobID(n)), Steps: []job.Step{{Count: 1}}}
+		var submitted, cancelled error
+		calls.Go(func() { _, submitted = l.Submit(t.Context(), j, 0) })
+		calls.Go(func() { cancelled = l.Cancel(t.Context(), j.ID) })
+		calls.Wait()
+		stored, err := l.Lookup(t.Context(), j.ID)
+		if errors.Is(cancelled, ledger.ErrNoJob) {
+			unknown++
+			is.True(errors.Is(submitted, ledger.ErrCancelled))
+			is.True(errors.Is(err, ledger.ErrNoJob))
+			continue
+		}
+		is.NoErr(cancelled)
+		is.NoErr(submitted)
+		is.NoErr(err)
+		is.Equal(stored.Phase(), job.Cancelled)
+	}
+	t.Logf("%d of 60 cancels came before the submission", unknown)
+}
--- a/testbed/fleet/store.go
+++ b/testbed/fleet/store.go
@@ -57,6 +57,10 @@
 	// SilentPrefix withholds the responses to reads and watches of keys with this prefix, and to transactions that only
 	// compare such keys; empty for none.
 	SilentPrefix string
+	// LateBy delays the execution of each transaction that sets a key with the prefix LatePrefix, and withholds the
+	// response; 0 for none.
+	LateBy     time.Duration
+	LatePrefix string
 }
 
 const maxHistoryEvents = 5000
@@ -310,6 +314,16 @@
 	return false
 }
 
+// sets reports whether the transaction sets a key with the prefix.
+func (t transaction) sets(prefix string) bool {
+	for _, set := range t.Set {
+		if strings.HasPrefix(set.Key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 const maxTransactionOperations = 32
 
 func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request, faults StoreFaults) {
@@ -322,6 +336,28 @@
 		<-r.Context().Done()
 		return
 	}
+	if faults.LateBy > 0 && txn.sets(faults.LatePrefix) {
+		time.AfterFunc(faults.LateBy, func() { s.execute(txn) })
+		<-r.Context().Done()
+		return
+	}
+	status, body := s.execute(txn)
+	if faults.DropNthResponse > 0 && status == http.StatusOK && body.(committed).Revision%uint64(faults.DropNthResponse) == 0 {
+		panic(http.ErrAbortHandler) // closes the connection after the commit without a response
+	}
+	w.WriteHeader(status)
+	if body != nil {
+		writeJSON(w, body)
+	}
+}
+
+// committed is the response to a transaction whose conditions held.
+type committed struct {
+	Revision uint64 `json:"revision"`
+}
+
+// execute executes a transaction and returns the status and the body of the response; nil: no body.
+func (s *Store) execute(txn transaction) (status int, body any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conflicts := false
@@ -333,18 +369,14 @@
 		conflicts = conflicts || it.Revision != c.Revision
 	}
 	if conflicts {
-		w.WriteHeader(http.StatusPreconditionFailed)
-		writeJSON(w, map[string]any{"items": current})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
 	}
 	for _, set := range txn.Set {
 		if set.Lease != 0 && s.leases[set.Lease] == nil {
-			w.WriteHeader(http.StatusNotFound)
-			return
+			return http.StatusNotFound, nil
 		}
 		if strings.HasPrefix(set.Key, "op/") || strings.HasPrefix(set.Key, "servers/") {
-			w.WriteHeader(http.StatusForbidden)
-			return
+			return http.StatusForbidden, nil
 		}
 	}
 	if len(txn.Set)+len(txn.Remove) > 0 {
@@ -357,10 +389,7 @@
 		s.remove(key)
 	}
 	s.notify()
-	if faults.DropNthResponse > 0 && s.revision%uint64(faults.DropNthResponse) == 0 {
-		panic(http.ErrAbortHandler) // closes the connection after the commit without a response
-	}
-	writeJSON(w, map[string]any{"revision": s.revision})
+	return http.StatusOK, committed{s.revision}
 }
 
 func (s *Store) serveGrantLease(w http.ResponseWriter, r *http.Request) {
