schedule: a job is pending until an upstream has begun a task of it

Cause: a job counted as started when a start was decided, before it was sent, and nothing took that back. A new owner did not read the mark from the stored progress at all.

Change: a job has begun once an upstream has answered a start with success, lists a run of it or lists an end. The phase is stored with the job's next progress, 1 s later at the latest. A new owner reads it from the stored phase. Why it works: each of the three is given by the upstream only after it has begun a task.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,7 +12,7 @@
 //	cg/roster/ID        an upstream on which tasks may run
 //	cg/roster           all of these upstreams in one record, as earlier versions stored them
 //	cg/ordered          machines for which the owner may have sent commands
-//	cg/pending          for each queue, the number of jobs of which no task has started
+//	cg/pending          for each queue, the number of jobs of which no task has begun
 //	cg/wave/N           progress of a maintenance wave
 package ledger
 
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -109,7 +109,8 @@
 	lastBatch    uint64          // number of the last batch of records that TakeRecords returned
 	durableBatch uint64          // number of the last batch that is stored
 	dirty        *orderedMap[job.ID, *jobState]
-	roster       *orderedMap[string, *upstream] // changes to be stored, by ID; nil: removed
+	begun        *orderedMap[job.ID, time.Duration] // jobs whose phase is to be stored as active, and when they began
+	roster       *orderedMap[string, *upstream]     // changes to be stored, by ID; nil: removed
 	retired      []retired
 	retiredIDs   map[job.ID]struct{} // jobs in retired
 	stats        Stats
@@ -157,7 +158,7 @@
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, durationRatios: map[string]*durationRatio{},
 		window:          startWindow{limit: initialStartWindow},
 		newestUpstreams: map[string]*upstream{}, roster: newOrderedMap[string, *upstream](),
-		evacuated: map[string]bool{}, dirty: newOrderedMap[job.ID, *jobState](),
+		evacuated: map[string]bool{}, dirty: newOrderedMap[job.ID, *jobState](), begun: newOrderedMap[job.ID, time.Duration](),
 		unresolvedRuns: newOrderedMap[*run, struct{}](),
 		retiredIDs:     map[job.ID]struct{}{}, waves: newOrderedMap[int, *wave](),
 		moves: newOrderedMap[string, *machineMove](), moveRetryAt: map[string]time.Duration{},
@@ -308,6 +309,7 @@
 func (c *Core) Decide() []Call {
 	c.addDueOccurrences()
 	c.expireLeases()
+	c.markBegunJobs()
 	if c.now >= c.nextReview {
 		c.nextReview = c.now + reviewInterval
 		c.stopOnDrainingUpstreams()
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -83,10 +83,11 @@
 }
 
 // noteBegun records that the run has begun: its start was answered, or it was listed.
-func (r *run) noteBegun() {
+func (c *Core) noteBegun(r *run) {
 	if r.begunMS == 0 {
 		r.begunMS = r.up.clockMS
 	}
+	c.noteJobBegun(r.part.job)
 }
 
 // inProbation returns the number of runs in probation on the upstream.
@@ -103,7 +104,7 @@
 // clearSuspicion clears the task of a listed run that has outlived its probation.
 func (c *Core) clearSuspicion(r *run) {
 	t := r.task()
-	r.noteBegun()
+	c.noteBegun(r)
 	if !t.isSuspect() || r.inProbation() {
 		return
 	}
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -13,7 +13,7 @@
 	arrival        time.Duration // when the job was accepted, on our monotonic clock
 	phase          job.Phase
 	endedMS        int64
-	hasStarted     bool
+	hasBegun       bool    // an upstream has begun a task
 	parts          []*part // of the due occurrences, in order
 	dueOccurrences int
 	openParts      int // parts that are not done
@@ -93,6 +93,7 @@
 	if queue, ok := c.queues[j.Queue.Name]; ok {
 		j.Queue = queue.Queue
 	}
+	state.hasBegun = progress != nil && progress.Phase == job.Active
 	state.objective = c.computeObjective(state)
 	c.jobs.set(j.ID, state)
 	recorded := map[job.Part]job.PartProgress{}
@@ -314,7 +315,7 @@
 	}
 	c.markDirty(j)
 	c.Observe(j.Team, j.Queue.Name, phase.String(), c.now-j.arrival)
-	c.Log("job ended", "job", j.ID, "phase", phase.String(), "reason", reason, "begun", j.hasStarted, "tasks_done", j.tasksDone(),
+	c.Log("job ended", "job", j.ID, "phase", phase.String(), "reason", reason, "begun", j.hasBegun, "tasks_done", j.tasksDone(),
 		"age_ms", (c.now - j.arrival).Milliseconds(), "objective_ms", j.objective.Milliseconds())
 }
 
@@ -386,12 +387,12 @@
 	return time.Duration(factor*float64(criticalPath)) + j.Queue.TargetLatency
 }
 
-// Pending returns, for each queue, the number of jobs that have not ended and have had no task started. Repeated jobs
-// are not counted.
+// Pending returns, for each queue, the number of jobs that have not ended and of which no upstream has begun a task.
+// Repeated jobs are not counted.
 func (c *Core) Pending() map[string]int {
 	pending := map[string]int{}
 	for _, j := range c.jobs.all() {
-		if !j.hasStarted && !j.phase.Terminal() && j.Repeat == 0 {
+		if !j.hasBegun && !j.phase.Terminal() && j.Repeat == 0 {
 			pending[j.Queue.Name]++
 		}
 	}
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -61,7 +61,7 @@
 	}
 	t.lastAttempt = max(t.lastAttempt, row.Attempt)
 	c.attach(r)
-	p.job.hasStarted = true
+	c.noteJobBegun(p.job)
 	c.Log("run adopted", "job", p.job.ID, "task", r.id().String(), "attempt", r.attempt, "upstream", up.ID)
 	if unwanted != "" {
 		c.stopRun(r, unwanted)
@@ -106,6 +106,7 @@
 	}
 	t := &p.tasks[index]
 	t.lastAttempt = max(t.lastAttempt, end.Attempt)
+	c.noteJobBegun(p.job)
 	ran := int64(-1)
 	if r != nil {
 		ran = (c.now - r.started).Milliseconds()
--- a/schedule/records.go
+++ b/schedule/records.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"time"
+
 	"citrongauge.example/citrongauge/job"
 )
 
@@ -25,6 +27,31 @@
 // its request late.
 const retentionFactor = 2
 
+// phaseDelay is the longest time after the start of a job until its phase is stored as active. Most jobs have other
+// progress to store by then.
+const phaseDelay = time.Second
+
+// noteJobBegun records that an upstream has begun a task of the job.
+func (c *Core) noteJobBegun(j *jobState) {
+	if !j.hasBegun {
+		j.hasBegun = true
+		c.begun.set(j.ID, c.now)
+	}
+}
+
+// markBegunJobs marks the jobs for storing that have begun phaseDelay ago and have not been stored since.
+func (c *Core) markBegunJobs() {
+	for id, at := range c.begun.all() {
+		if c.now < at+phaseDelay {
+			return
+		}
+		c.begun.delete(id)
+		if j := c.jobs.get(id); j != nil && !j.phase.Terminal() {
+			c.markDirty(j)
+		}
+	}
+}
+
 // TakeRecords returns the next batch of records.
 func (c *Core) TakeRecords() RecordBatch {
 	c.lastBatch++
@@ -32,6 +59,7 @@
 	for id, j := range c.dirty.all() {
 		batch.Jobs = append(batch.Jobs, Record{ID: id, Progress: j.snapshot()})
 		c.dirty.delete(id)
+		c.begun.delete(id)
 	}
 	batch.Jobs = append(batch.Jobs, c.expiredRecords()...)
 	return batch
@@ -120,7 +148,7 @@
 
 // shownPhase returns the phase that clients see.
 func (j *jobState) shownPhase() job.Phase {
-	if j.hasStarted && !j.phase.Terminal() {
+	if j.hasBegun && !j.phase.Terminal() {
 		return job.Active
 	}
 	return j.phase
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -80,9 +80,6 @@
 	t.lastAttempt = attempt
 	c.attach(r)
 	up.health.noteStart(r)
-	if !p.job.hasStarted {
-		p.job.hasStarted = true
-	}
 	c.stats.Starts++
 	c.Log("start", "job", p.job.ID, "task", r.id().String(), "attempt", attempt, "upstream", up.ID,
 		"free_cpu", up.freeCapacity().MilliCPU, "waited_ms", (c.now - p.releasedAt).Milliseconds(),
@@ -280,7 +277,7 @@
 	var rejected *platform.RejectedError
 	switch {
 	case err == nil:
-		r.noteBegun()
+		c.noteBegun(r)
 		if r.state == runStarting || r.state == runUnknown {
 			r.state = runRunning
 		}
