--- a/testbed/fleet/store.go
+++ b/testbed/fleet/store.go
@@ -324,11 +324,25 @@
 	return false
 }
 
-const maxTransactionOperations = 32
+const (
+	maxTransactionOperations = 32
+	maxKeyBytes              = 200
+	maxValueBytes            = 1 << 20
+)
+
+// isTooLarge reports whether a key or a value that the transaction sets exceeds the store's limits.
+func (t transaction) isTooLarge() bool {
+	for _, set := range t.Set {
+		if len(set.Key) > maxKeyBytes || len(set.Value) > maxValueBytes {
+			return true
+		}
+	}
+	return false
+}
 
 func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request, faults StoreFaults) {
 	var txn transaction
-	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil || len(txn.If)+len(txn.Set)+len(txn.Remove) > maxTransactionOperations {
+	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil || len(txn.If)+len(txn.Set)+len(txn.Remove) > maxTransactionOperations || txn.isTooLarge() {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
