schedule: an entry that its upstream cannot have written ends no runs

Cause: an entry with another pool or address was taken for a move of the upstream; its runs were given up. An owner that read such an entry at a takeover forgot the upstream of the stored roster. Evidence: TestEntryOfAnotherWriterUnderAnIDInUse on the old code: attempt 1 on i-1-1 overlaps with attempt 2 on i-1-2.

Change: such an entry is a new incarnation only if it has started since, in a pool of the configuration. Otherwise the upstream is unlisted and its runs are followed; the entry is applied once the upstream is removed. Why it works: an upstream keeps its pool and address for its whole life, so the entry proves nothing about its runs.

--- a/schedule/histories_test.go
+++ b/schedule/histories_test.go
@@ -8,12 +8,13 @@
 	"pgregory.net/rapid"
 
 	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
 )
 
 // Checks the core against the users' rules, which simulation.fail lists (TWICE, LIMIT, ORDER, QUOTA, BUDGET, UNASKED,
 // and LOST: every job ends), over random histories with lost responses, calls that are carried out up to 12 s late,
 // owners that crash or freeze, upstreams that are unreachable, crash and restart under the same ID, cancelled jobs and
-// failing tasks, and tasks that crash their upstreams.
+// failing tasks, tasks that crash their upstreams, and entries of other writers under their IDs.
 func TestHistoriesKeepTheRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, rapid.IntRange(1, 4).Draw(t, "upstreams"))
@@ -35,7 +36,7 @@
 
 func (sim *simulation) injectEvent() {
 	u := sim.upstreams[rapid.IntRange(0, len(sim.upstreams)-1).Draw(sim.t, "upstream")]
-	switch rapid.IntRange(0, 9).Draw(sim.t, "event") {
+	switch rapid.IntRange(0, 10).Draw(sim.t, "event") {
 	case 0, 1, 2, 3:
 		s := sim.submit()
 		s.deadly = rapid.IntRange(0, 9).Draw(sim.t, "deadly") == 0
@@ -51,6 +52,24 @@
 		sim.freezeOwner()
 	case 9:
 		u.failsAll = !u.failsAll
+	case 10:
+		sim.replaceEntry(u)
+	}
+}
+
+// replaceEntry replaces the entry of an upstream by another writer's for a while.
+func (sim *simulation) replaceEntry(u *simUpstream) {
+	entry := u.entry()
+	entry.Pool = "nobody-knows"
+	sim.deliverEntry(u, entry)
+	sim.advance(sim.delay("replaced", 900))
+	sim.deliverEntry(u, u.entry())
+}
+
+func (sim *simulation) deliverEntry(u *simUpstream, entry platform.Upstream) {
+	if !u.dead && sim.owner != nil && !sim.owner.dead {
+		sim.owner.core.SetTime(sim.now, sim.now.Milliseconds())
+		sim.owner.core.SetUpstream(entry)
 	}
 }
 
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -16,6 +16,9 @@
 	listed     bool // it has an entry in the store
 	terminated bool // it definitely runs nothing any more; kept until its runs are detached
 	stored     bool // it is in the stored roster, so that a later owner polls it for runs
+	// contradiction is the last entry under its ID that cannot be its own; nil: its own is newer. It is applied when this
+	// upstream is removed.
+	contradiction *platform.Upstream
 	// storedStartMS is its StartedMS in the stored roster.
 	storedStartMS int64
 	inherited     bool // from an earlier owner's roster and not reached yet
@@ -109,6 +112,14 @@
 		return // a stale entry of an upstream that has terminated
 	}
 	if up != nil && (up.Address != entry.Address || up.Pool != entry.Pool) {
+		if !c.isNewIncarnation(up, entry) {
+			c.Log("entry contradicts its upstream", "upstream", entry.ID, "pool", entry.Pool, "address", entry.Address,
+				"born", entry.StartedMS, "known_pool", up.Pool, "known_address", up.Address, "known_born", up.StartedMS)
+			c.UnlistUpstream(entry.ID)
+			up.contradiction = &entry
+			return
+		}
+		up.contradiction = nil
 		c.loseRuns(up, "its entry names another address or pool")
 		c.removeUpstream(up)
 		up = nil
@@ -130,15 +141,38 @@
 	up.Upstream = entry
 	up.StartedMS = startedMS
 	up.rack = platform.RackOf(entry.Labels)
-	up.listed = true
+	up.listed, up.contradiction = true, nil
 	c.noteNewestUpstream(up)
 }
 
+// isNewIncarnation reports whether an entry with another address or pool can be the upstream's own: it has started since,
+// in a pool of the configuration. Otherwise another program has written the entry, and the upstream may work on.
+func (c *Core) isNewIncarnation(up *upstream, entry platform.Upstream) bool {
+	return entry.StartedMS > up.StartedMS && (!c.bundleSet || c.isConfigured(entry.Pool))
+}
+
+// isConfigured reports whether the current bundle has the pool.
+func (c *Core) isConfigured(pool string) bool {
+	if _, ok := c.spare[pool]; ok {
+		return true
+	}
+	for _, queue := range c.queues {
+		if queue.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
 // UnlistUpstream records that an upstream's entry was removed from the store. No task starts there any more. Its runs
 // are followed until they end or its lease expires, because the upstream may only be partitioned from the store.
 func (c *Core) UnlistUpstream(id string) {
 	up := c.upstreams.get(id)
-	if up == nil || !up.listed {
+	if up == nil {
+		return
+	}
+	up.contradiction = nil
+	if !up.listed {
 		return
 	}
 	up.listed = false
@@ -259,6 +293,9 @@
 	if !c.isAddressInUse(up.Address) {
 		c.calls = append(c.calls, CloseConnections{Address: up.Address})
 	}
+	if up.contradiction != nil {
+		c.SetUpstream(*up.contradiction)
+	}
 }
 
 // isAddressInUse reports whether a known upstream has the address.
--- a/testbed/fleet/oddentries_test.go
+++ b/testbed/fleet/oddentries_test.go
@@ -64,3 +64,27 @@
 	waitOwner(t, f, "edge-2", 8*time.Second)
 	checkServing(second)
 }
+
+// TestEntryOfAnotherWriterUnderAnIDInUse guards against tasks that run twice after another writer has replaced the entry of
+// an upstream at work for a while (TWICE, review/REPORT.md).
+func TestEntryOfAnotherWriterUnderAnIDInUse(t *testing.T) {
+	is := is.New(t)
+	f, err := fleet.New(fleet.Options{Zones: 1, UpstreamsPerZone: 2, TaskDuration: 1500 * time.Millisecond, TeamKey: teamKey})
+	is.NoErr(err)
+	defer f.Close()
+	h := addHost(t, f, "edge-1", setLargeCapacity)
+	defer h.stop()
+	waitOwner(t, f, "edge-1", 3*time.Second)
+	status, _ := h.call(http.MethodPost, jobID(1), `{"spec":"s","steps":[{"count":8,"cpu":500,"estimate_ms":1500}]}`, teamKey)
+	is.Equal(status, http.StatusOK)
+	time.Sleep(300 * time.Millisecond) // its tasks run
+	u := f.Upstreams[0]
+	if len(u.History()) == 0 {
+		u = f.Upstreams[1]
+	}
+	f.Store.Put("servers/"+u.ID, []byte(strings.Replace(string(u.StoreEntry()), fleet.PoolName, "nobody-knows", 1)))
+	time.Sleep(400 * time.Millisecond) // longer than the owner's pause between two watch calls
+	f.Store.Put("servers/"+u.ID, u.StoreEntry())
+	h.waitPhase(jobID(1), "succeeded")
+	is.Equal(f.Violations(map[string]string{jobID(1): "s"}), nil)
+}
