schedule: a machine that has started anew is not moved under its tasks

Cause: an upstream that has crashed without runs looks idle until its entry expires. Its machine was moved, though it had come back with a new upstream that ran tasks: the command names the machine.

Change: only the newest upstream of a machine is moved; a new one takes no tasks while a command for its machine that may still end it is not answered. Why it works: the platform has one life of a machine at a time, so an older upstream says nothing about what runs there.

--- a/schedule/movable.go
+++ b/schedule/movable.go
@@ -28,7 +28,7 @@
 	for _, p := range c.pools.all() {
 		for _, up := range p.byID {
 			switch {
-			case up.released && (!c.isInService(up) || !c.isMovable(up.Machine)):
+			case up.released && (!c.isInService(up) || !c.isMovable(up.Machine) || !c.isNewest(up)):
 				up.released = false
 			case up.released:
 				m.released = append(m.released, up)
@@ -43,9 +43,13 @@
 // mayLeave reports whether the upstream's machine may move to another pool once it has no runs.
 func (c *Core) mayLeave(up *upstream) bool {
 	stay := time.Duration(minStayFactor) * c.Bounds.MoveDuration
-	return up.Machine != "" && c.isUsable(up) && c.isMovable(up.Machine) && c.now >= up.addedAt+stay
+	return up.Machine != "" && c.isUsable(up) && c.isMovable(up.Machine) && c.isNewest(up) && c.now >= up.addedAt+stay
 }
 
+// isNewest reports whether no newer upstream of the same machine is known. An upstream that has crashed without runs looks
+// idle until its entry expires.
+func (c *Core) isNewest(up *upstream) bool { return c.upstreamOf(up.Machine) == up }
+
 // takeSpare removes and returns a spare machine that matches the shortage, or returns an empty string.
 func (m *movableMachines) takeSpare(c *Core, s *shortage) string {
 	for i, name := range m.spare {
--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -249,6 +249,20 @@
 	return true
 }
 
+// mayEndByCommand reports whether a move or an upkeep of the machine may still end a new upstream: the command was sent
+// before the upstream was known, and has not been answered.
+func (c *Core) mayEndByCommand(up *upstream) bool {
+	if m := c.moves.get(up.Machine); m != nil && !m.accepted && up.Pool != m.Pool {
+		return true
+	}
+	for _, w := range c.waves.all() {
+		if m := w.machines.get(up.Machine); m != nil && m.state == machineCommandSent {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) issueMove(machine string, up *upstream, d *poolDemand) {
 	c.lastMachineCommand++
 	m := &machineMove{
@@ -326,6 +340,7 @@
 		if up := c.upstreams.get(m.previousUpstream); up != nil {
 			up.cordoned = false
 		}
+		c.uncordon(m.Machine)
 	default:
 		m.retryAt = c.now + moveRetryDelay
 		c.Log("move got no answer", "machine", m.Machine, "to", m.Pool, "error", err.Error())
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -169,3 +169,72 @@
 	is.Equal(len(moves), 1)
 	is.Equal(moves[0].Machine, "m-off")
 }
+
+// newCrashedHarness returns a harness with a pool of idle machines, one of which has started anew: the entry of u-2, which
+// has crashed, is still there.
+func newCrashedHarness(t *testing.T) *harness {
+	h := newHarness(t)
+	listed := []platform.Machine{{Name: "m-off", Pool: sparePool, Phase: platform.MachineUp}}
+	for i := range 14 {
+		id := fmt.Sprintf("u-%d", i)
+		h.addUpstream(id)
+		listed = append(listed, platform.Machine{Name: "m-" + id, Pool: testPool, Phase: platform.MachineUp, Upstream: id})
+	}
+	h.fenceAll(platform.PollResult{})
+	h.setUpSparePool()
+	h.core.SetMachines(listed)
+	return h
+}
+
+// startAnew adds a new upstream on the machine of u-2.
+func (h *harness) startAnew() {
+	entry := upstreamEntry("u-anew", 16000)
+	entry.Machine, entry.Labels = "m-u-2", []string{"z", "r1"}
+	h.core.SetUpstream(entry)
+	h.core.RosterStored(h.core.TakeRosterChange())
+}
+
+// Guards against a move of a machine that has started anew: its earlier upstream, which has crashed without runs, was taken
+// for an idle machine, and the move ended the long-running tasks of the new one (AVAIL, review/REPORT.md).
+func TestMachineThatHasStartedAnewIsNotMoved(t *testing.T) {
+	is := is.New(t)
+	h := newCrashedHarness(t)
+	h.startAnew()
+	h.addJob(1, job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1, Label: "z"})
+	for h.core.Stats().Starts == 0 {
+		h.answerAll(h.decide(), nil)
+	}
+	task := platform.CurrentRun{Task: job.TaskID{Job: "0000000000000001"}, Attempt: 1, Percent: 100}
+	moves := h.runAndCollectMoves(10*time.Second, map[string][]platform.CurrentRun{"u-anew": {task}})
+	is.Equal(h.core.Stats().Starts, 1) // the task runs all the time
+	is.True(len(moves) >= 4)           // the pool has too many machines
+	for _, move := range moves {
+		is.True(move.Machine != "m-u-2")
+	}
+}
+
+// Guards against tasks on a machine that a move may still end: it has started anew after the move was sent, and before it was
+// answered.
+func TestMachineWithAMoveUnderWayTakesNoTasks(t *testing.T) {
+	for name, c := range map[string]struct {
+		err    error
+		starts bool
+	}{"not answered": {platform.ErrOutcomeUnknown, false}, "refused": {platform.ErrMachineBusy, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newCrashedHarness(t)
+			var move schedule.Move
+			for _, issued := range h.runAndCollectMoves(6*time.Second, nil) {
+				if issued.Machine == "m-u-2" {
+					move = issued
+				}
+			}
+			is.Equal(move.Machine, "m-u-2")
+			h.startAnew()
+			h.core.HandleMoveResult(move, c.err)
+			h.addJob(1, job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1, Label: "z"})
+			h.runAndCollectMoves(time.Second, nil)
+			is.Equal(h.core.Stats().Starts > 0, c.starts)
+		})
+	}
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -126,10 +126,11 @@
 	}
 	if up == nil {
 		up = &upstream{Upstream: entry, storedStartMS: entry.StartedMS, addedAt: c.now, runs: newOrderedMap[job.TaskID, *run]()}
+		up.cordoned = c.mayEndByCommand(up)
 		c.upstreams.set(entry.ID, up)
 		c.pool(entry.Pool).addUpstream(up)
 		c.roster.set(up.ID, up)
-		c.Log("upstream added", "upstream", entry.ID, "machine", entry.Machine, "labels", entry.Labels, "cpu", entry.Capacity.MilliCPU, "pool", entry.Pool, "zone", entry.Zone, "draining", entry.Draining)
+		c.Log("upstream added", "upstream", entry.ID, "machine", entry.Machine, "labels", entry.Labels, "cpu", entry.Capacity.MilliCPU, "pool", entry.Pool, "zone", entry.Zone, "draining", entry.Draining, "cordoned", up.cordoned)
 	}
 	if up.StartedMS != 0 && entry.StartedMS != 0 && entry.StartedMS > up.StartedMS {
 		c.handleRestart(up, entry.StartedMS)
@@ -265,7 +266,8 @@
 	up.lastHandledEnd, up.ackable, up.ackConfirmed, up.pendingAcks = 0, 0, 0, nil
 	// An upstream that this owner has not fenced yet may have restarted before an earlier owner started tasks there.
 	up.reconciled = up.reconciled || up.fenced
-	up.fenced, up.terminated, up.cordoned, up.moreEnds, up.maxDeadline, up.clockMS = false, false, false, false, 0, 0
+	up.fenced, up.terminated, up.moreEnds, up.maxDeadline, up.clockMS = false, false, false, 0, 0
+	up.cordoned = c.mayEndByCommand(up)
 	up.nextPoll = c.now
 	up.health = health{}
 }
