schedule: a restart does not void deadlines of calls in flight

Cause: a call names an upstream by its ID only, so a poll in flight at a restart may extend the lease of the next incarnation, by a deadline on the clock of the earlier one. The owner forgot that deadline at the restart and took the lease for expired 5.3 s later.

Change: if a start or a poll with a deadline is in flight when a restart is seen, the platform's longest lease is allowed for from the last moment at which that call can arrive. Why it works: the platform shortens each lease to that length, and no other call with an old deadline can arrive later.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -31,6 +31,8 @@
 	unstoredPollInterval = 400 * time.Millisecond
 	// maxPollWait is the longest time for which an upstream holds a poll back until a run ends.
 	maxPollWait = time.Second
+	// maxCommandTime is the longest time until a command that is in flight reaches its upstream or times out.
+	maxCommandTime = maxPollWait + 500*time.Millisecond
 	// pollRetryDelay and maxPollRetryDelay bound the backoff after a failed poll.
 	pollRetryDelay    = 150 * time.Millisecond
 	maxPollRetryDelay = time.Second
--- a/schedule/lease_test.go
+++ b/schedule/lease_test.go
@@ -9,6 +9,7 @@
 
 	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
 )
 
 // Guards against unanswered polls that extend the lease of an upstream forever, so that its tasks are never started
@@ -125,3 +126,51 @@
 	is.True(started[2] < time.Hour+time.Second)
 	is.True(started[0] > time.Hour+testLease) // it may have been running on u-unresponsive until then
 }
+
+// Guards against a lease that is taken for expired too early after an upstream has started anew: the new incarnation had
+// executed a poll with a deadline on the earlier one's clock, and ran its tasks on while they were started elsewhere (TWICE,
+// TestHistoriesKeepTheRules).
+func TestLeaseAllowsForPollOfEarlierIncarnation(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.addUpstream("u-1")
+	h.fenceAll(platform.PollResult{})
+	h.addUniformJob(1, 1, 1000)
+	first := h.decide()
+	h.acceptStarts(first.starts)
+	polls := append(first.polls, h.decide().polls...)
+	is.Equal(len(polls), 1) // in flight
+	restarted := upstreamEntry("u-1", 16000)
+	restarted.StartedMS = 2
+	h.core.SetUpstream(restarted)
+	answer := func(poll schedule.Poll) {
+		h.core.HandlePollResult(poll, platform.PollResult{StartedMS: 2, ClockMS: 1000}, nil)
+	}
+	answer(polls[0])
+	h.advance(100 * time.Millisecond)
+	c := h.decide()
+	is.Equal(len(c.starts), 1) // again, on the new incarnation
+	h.acceptStarts(c.starts)
+	h.addUpstream("u-2")
+	restartedAt := h.now
+	for h.now < restartedAt+testBounds.MaxLease {
+		for _, poll := range c.polls {
+			if poll.Target.ID == "u-1" {
+				h.core.HandlePollResult(poll, platform.PollResult{}, lostStart)
+			} else {
+				h.answerPoll(poll, platform.PollResult{})
+			}
+		}
+		h.advance(100 * time.Millisecond)
+		c = h.decide()
+		is.Equal(len(c.starts), 0)
+	}
+	for range 30 {
+		h.advance(100 * time.Millisecond)
+		if starts := h.decide().starts; len(starts) > 0 {
+			is.Equal(starts[0].Target.ID, "u-2")
+			return
+		}
+	}
+	t.Fatal("not started again")
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -35,8 +35,11 @@
 	clockMS     int64
 	clockAt     time.Duration
 	maxDeadline int64 // latest lease deadline in any command that may have reached the upstream
+	// minLeaseEnd is the earliest time by which the lease can be known to have expired, whatever maxDeadline is.
+	minLeaseEnd time.Duration
 
 	polling        bool
+	pollExtends    bool   // the poll in flight extends the lease
 	fencing        bool   // the poll in flight is counted in Core.fencing
 	pollSeq        uint64 // of the last poll that was sent
 	answeredSeq    uint64 // of the last poll that was answered
@@ -94,7 +97,7 @@
 		return 0
 	}
 	left := float64(max(u.maxDeadline-u.clockMS, 0)) / minClockRate
-	return u.clockAt + time.Duration(left*float64(time.Millisecond)) + leaseSlack
+	return max(u.clockAt+time.Duration(left*float64(time.Millisecond))+leaseSlack, u.minLeaseEnd)
 }
 
 // advanceAck allows the acknowledgement of the ends whose batches are stored; durable is the last stored batch.
@@ -248,6 +251,7 @@
 // numbers of its ends begin again.
 func (c *Core) handleRestart(up *upstream, startedMS int64) {
 	c.countCrash(up)
+	c.allowForStaleDeadline(up)
 	var mayStart []*run
 	for _, r := range up.runs.all() {
 		if r.mayStillStart() {
@@ -272,6 +276,18 @@
 	up.health = health{}
 }
 
+// allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a command with a deadline is in
+// flight. The new incarnation may execute it, and the deadline is on the clock of the earlier one.
+func (c *Core) allowForStaleDeadline(up *upstream) {
+	inFlight := up.polling && up.pollExtends
+	for _, r := range up.runs.all() {
+		inFlight = inFlight || r.commandInFlight && r.state == runStarting
+	}
+	if inFlight {
+		up.minLeaseEnd = c.now + maxCommandTime + time.Duration(float64(c.Bounds.MaxLease)/minClockRate) + leaseSlack
+	}
+}
+
 // loseRuns detaches and requeues all runs of an upstream that cannot be running any more.
 func (c *Core) loseRuns(up *upstream, reason string) {
 	if up.runs.len() > 0 {
@@ -358,11 +374,13 @@
 		}
 		up.polling = true
 		up.pollSeq++
+		up.pollExtends = false
 		request := platform.PollRequest{Token: c.Token, AckedSeq: up.ackable}
 		// A poll does not extend the lease of an upstream that does not answer, because its runs have to end at a
 		// known time.
 		if up.runs.len() > 0 && up.fenced && up.failedPolls == 0 {
 			request.DeadlineMS = c.extendLease(up)
+			up.pollExtends = true
 			request.Wait = maxPollWait
 			if up.ackable > up.ackConfirmed {
 				request.Wait = maxPollWait / 2
