--- a/schedule/crashes_test.go
+++ b/schedule/crashes_test.go
@@ -92,9 +92,7 @@
 		next := newHarness(t)
 		next.core.InheritUpstream(upstreamEntry("u-1", 16000)) // the roster has the first incarnation
 		step := job.Step{Count: 1, Request: job.Resources{MilliCPU: 20000}, Estimate: time.Second}
-		next.core.AddJob(&job.Job{
-			ID: id, Team: testTeam, Queue: testJobQueue(), Spec: "s", Steps: []job.Step{step}, AcceptedMS: next.now.Milliseconds(),
-		}, 101, true, &progress, false)
+		next.inheritJob(id, step, progress)
 		next.core.SetUpstream(restarted)
 		for _, poll := range next.decide().polls {
 			next.core.HandlePollResult(poll, platform.PollResult{StartedMS: 2, ClockMS: 1}, nil)
--- a/schedule/ends_test.go
+++ b/schedule/ends_test.go
@@ -70,10 +70,7 @@
 
 	next := newHarness(t)
 	next.core.InheritUpstream(upstreamEntry("u-1", 16000))
-	next.core.AddJob(&job.Job{
-		ID: id, Team: testTeam, Queue: testJobQueue(), Spec: "s", AcceptedMS: next.now.Milliseconds(),
-		Steps: []job.Step{{Count: 7, Request: job.Resources{MilliCPU: 500}, Estimate: time.Second}},
-	}, 101, true, &progress, false)
+	next.inheritJob(id, job.Step{Count: 7, Request: job.Resources{MilliCPU: 500}, Estimate: time.Second}, progress)
 	next.core.SetUpstream(upstreamEntry("u-1", 16000))
 	for range 80 { // longer than the lease of an earlier owner
 		c := next.decide()
--- /dev/null
+++ b/schedule/entries.go
@@ -0,0 +1,193 @@
+package schedule
+
+import (
+	"time"
+
+	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
+)
+
+// Which upstreams there are: their entries in the store, the roster of earlier owners, and new incarnations.
+
+// SetUpstream applies an upstream's entry in the store.
+func (c *Core) SetUpstream(entry platform.Upstream) {
+	up := c.upstreams.get(entry.ID)
+	if up != nil && up.terminated && entry.StartedMS <= up.StartedMS && up.Address == entry.Address {
+		return // a stale entry of an upstream that has terminated
+	}
+	if up != nil && (up.Address != entry.Address || up.Pool != entry.Pool) {
+		if !c.isNewIncarnation(up, entry) {
+			c.Log("entry contradicts its upstream", "upstream", entry.ID, "pool", entry.Pool, "address", entry.Address,
+				"born", entry.StartedMS, "known_pool", up.Pool, "known_address", up.Address, "known_born", up.StartedMS)
+			c.UnlistUpstream(entry.ID)
+			up.contradiction = &entry
+			return
+		}
+		up.contradiction = nil
+		c.loseRuns(up, "its entry names another address or pool")
+		c.removeUpstream(up)
+		up = nil
+	}
+	if up == nil {
+		up = &upstream{Upstream: entry, storedStartMS: entry.StartedMS, addedAt: c.now, runs: newOrderedMap[job.TaskID, *run]()}
+		up.cordoned = c.mayEndByCommand(up)
+		c.upstreams.set(entry.ID, up)
+		c.pool(entry.Pool).addUpstream(up)
+		c.roster.set(up.ID, up)
+		c.Log("upstream added", "upstream", entry.ID, "machine", entry.Machine, "labels", entry.Labels,
+			"cpu", entry.Capacity.MilliCPU, "pool", entry.Pool, "zone", entry.Zone,
+			"draining", entry.Draining, "cordoned", up.cordoned)
+	}
+	if up.StartedMS != 0 && entry.StartedMS != 0 && entry.StartedMS > up.StartedMS {
+		c.handleRestart(up, entry.StartedMS)
+	}
+	if entry.Draining && !up.Draining {
+		c.Log("upstream draining", "upstream", entry.ID, "remaining_ms", entry.DrainRemaining.Milliseconds(), "runs", up.runs.len())
+	}
+	startedMS := max(up.StartedMS, entry.StartedMS)
+	up.Upstream = entry
+	up.StartedMS = startedMS
+	up.rack = platform.RackOf(entry.Labels)
+	up.listed, up.contradiction = true, nil
+	c.noteNewestUpstream(up)
+}
+
+// isNewIncarnation reports whether an entry with another address or pool can be the upstream's own: it has started since,
+// in a pool of the configuration. Otherwise another program has written the entry, and the upstream may work on.
+func (c *Core) isNewIncarnation(up *upstream, entry platform.Upstream) bool {
+	return entry.StartedMS > up.StartedMS && (!c.bundleSet || c.isConfigured(entry.Pool))
+}
+
+// isConfigured reports whether the current bundle has the pool.
+func (c *Core) isConfigured(pool string) bool {
+	if _, ok := c.spare[pool]; ok {
+		return true
+	}
+	for _, queue := range c.queues {
+		if queue.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// UnlistUpstream records that an upstream's entry was removed from the store. No task starts there any more. Its runs
+// are followed until they end or its lease expires, because the upstream may only be partitioned from the store. An
+// earlier entry that contradicts the upstream is void as well.
+func (c *Core) UnlistUpstream(id string) {
+	up := c.upstreams.get(id)
+	if up == nil {
+		return
+	}
+	up.contradiction = nil
+	if !up.listed {
+		return
+	}
+	up.listed = false
+	c.Log("entry of upstream removed from the store", "upstream", id, "runs", up.runs.len(), "fenced", up.fenced)
+}
+
+// ListedUpstreams returns the IDs of the upstreams that have an entry in the store.
+func (c *Core) ListedUpstreams() []string {
+	var ids []string
+	for id, up := range c.upstreams.all() {
+		if up.listed {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// InheritUpstream adds an upstream from the roster that an earlier owner stored. It may be running that owner's tasks.
+func (c *Core) InheritUpstream(entry platform.Upstream) {
+	if c.upstreams.get(entry.ID) != nil {
+		c.upstreams.get(entry.ID).stored = true
+		return
+	}
+	up := &upstream{
+		Upstream: entry, runs: newOrderedMap[job.TaskID, *run](), stored: true, rack: platform.RackOf(entry.Labels),
+		inherited: true, storedStartMS: entry.StartedMS,
+	}
+	c.upstreams.set(entry.ID, up)
+	c.pool(entry.Pool).addUpstream(up)
+	c.noteNewestUpstream(up)
+}
+
+// InheritOldUpstream adds an upstream as InheritUpstream does, and has it stored again.
+func (c *Core) InheritOldUpstream(entry platform.Upstream) {
+	c.InheritUpstream(entry)
+	c.roster.set(entry.ID, c.upstreams.get(entry.ID))
+}
+
+// RosterChange is a change of the roster, the stored set of upstreams on which tasks may run.
+type RosterChange struct {
+	Added   []platform.Upstream
+	Removed []string // IDs
+}
+
+// IsEmpty reports whether the change has no effect.
+func (r RosterChange) IsEmpty() bool { return len(r.Added) == 0 && len(r.Removed) == 0 }
+
+// TakeRosterChange returns the change of the roster since the last call.
+func (c *Core) TakeRosterChange() RosterChange {
+	var change RosterChange
+	for id, up := range c.roster.all() {
+		if up == nil {
+			change.Removed = append(change.Removed, id)
+		} else {
+			change.Added = append(change.Added, up.Upstream)
+		}
+		c.roster.delete(id)
+	}
+	return change
+}
+
+// RosterStored confirms that a change of the roster is stored. Tasks may now start on the added upstreams.
+func (c *Core) RosterStored(change RosterChange) {
+	for _, entry := range change.Added {
+		if up := c.upstreams.get(entry.ID); up != nil {
+			up.stored = true
+		}
+	}
+}
+
+// handleRestart handles the restart of an upstream under the same ID: its earlier runs have ended, and the sequence
+// numbers of its ends begin again.
+func (c *Core) handleRestart(up *upstream, startedMS int64) {
+	c.countCrash(up)
+	c.allowForStaleDeadline(up)
+	var mayStart []*run
+	for _, r := range up.runs.all() {
+		if r.mayStillStart() {
+			mayStart = append(mayStart, r)
+			up.runs.delete(r.id())
+		}
+	}
+	c.loseRuns(up, "it has started anew")
+	// A start does not say for which incarnation of the upstream it is meant, so the new one may carry out a start
+	// that is in flight.
+	for _, r := range mayStart {
+		up.runs.set(r.id(), r)
+		c.stopRun(r, "its upstream has started anew")
+	}
+	up.StartedMS = startedMS
+	up.lastHandledEnd, up.ackable, up.ackConfirmed, up.pendingAcks = 0, 0, 0, nil
+	// An upstream that this owner has not fenced yet may have restarted before an earlier owner started tasks there.
+	up.reconciled = up.reconciled || up.fenced
+	up.fenced, up.terminated, up.moreEnds, up.maxDeadline, up.clockMS = false, false, false, 0, 0
+	up.cordoned = c.mayEndByCommand(up)
+	up.nextPoll = c.now
+	up.health = health{}
+}
+
+// allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a command with a deadline is in
+// flight. The new incarnation may execute it, and the deadline is on the clock of the earlier one.
+func (c *Core) allowForStaleDeadline(up *upstream) {
+	inFlight := up.polling && up.pollExtends
+	for _, r := range up.runs.all() {
+		inFlight = inFlight || r.commandInFlight && r.state == runStarting
+	}
+	if inFlight {
+		up.minLeaseEnd = c.now + maxCommandTime + time.Duration(float64(c.Bounds.MaxLease)/minClockRate) + leaseSlack
+	}
+}
--- a/schedule/entries_test.go
+++ b/schedule/entries_test.go
@@ -91,10 +91,7 @@
 			h.addUpstream("u-2")
 			progress := job.Progress{Parts: []job.PartProgress{{}}}
 			progress.Parts[0].RecordPlacement(0, "u-1")
-			h.core.AddJob(&job.Job{
-				ID: "00000000000000aa", Team: testTeam, Queue: testJobQueue(), Spec: "s", AcceptedMS: h.now.Milliseconds(),
-				Steps: []job.Step{{Count: 1, Request: job.Resources{MilliCPU: 1000}, Estimate: time.Second}},
-			}, 101, true, &progress, false)
+			h.inheritJob("00000000000000aa", job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, Estimate: time.Second}, progress)
 			h.core.SetUpstream(odd)
 			adopted := platform.CurrentRun{Task: job.TaskID{Job: "00000000000000aa"}, Attempt: 1}
 			for range 20 {
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -94,6 +94,13 @@
 	return id
 }
 
+// inheritJob adds a job of one step that an earlier owner has stored with the given progress.
+func (h *harness) inheritJob(id job.ID, step job.Step, progress job.Progress) {
+	h.core.AddJob(&job.Job{
+		ID: id, Team: testTeam, Queue: testJobQueue(), Spec: "s", Steps: []job.Step{step}, AcceptedMS: h.now.Milliseconds(),
+	}, 101, true, &progress, false)
+}
+
 // decide returns the calls of one decision, including those that wait for records to be stored.
 func (h *harness) decide() calls {
 	var c calls
--- a/schedule/pending_test.go
+++ b/schedule/pending_test.go
@@ -90,10 +90,7 @@
 	step := job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, Estimate: time.Second}
 	for n, phase := range []job.Phase{job.Queued, job.Queued, job.Active} {
 		id := job.ID("000000000000000" + string(rune('1'+n)))
-		progress := job.Progress{Phase: phase, Parts: []job.PartProgress{placed}}
-		h.core.AddJob(&job.Job{
-			ID: id, Team: testTeam, Queue: testJobQueue(), Spec: "s", Steps: []job.Step{step}, AcceptedMS: h.now.Milliseconds(),
-		}, 101, true, &progress, false)
+		h.inheritJob(id, step, job.Progress{Phase: phase, Parts: []job.PartProgress{placed}})
 	}
 	is.Equal(h.core.Pending()[testQueue], 2)
 	h.core.InheritUpstream(upstreamEntry("u-1", 16000))
--- /dev/null
+++ b/schedule/polls.go
@@ -0,0 +1,217 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"citrongauge.example/citrongauge/platform"
+)
+
+// Polls of upstreams: when they are due, and what their responses show.
+
+// pollUpstreams polls the upstreams whose state may have changed.
+func (c *Core) pollUpstreams() {
+	for _, up := range c.upstreams.all() {
+		if up.polling || up.terminated || c.now < up.pollDue() || !c.needsPoll(up) {
+			continue
+		}
+		if !up.fenced {
+			if c.fencing >= maxFencing {
+				continue
+			}
+			c.fencing++
+			up.fencing = true
+		}
+		up.polling = true
+		up.pollSeq++
+		up.pollExtends = false
+		request := platform.PollRequest{Token: c.Token, AckedSeq: up.ackable}
+		// A poll does not extend the lease of an upstream that does not answer, because its runs have to end at a
+		// known time.
+		if up.runs.len() > 0 && up.fenced && up.failedPolls == 0 {
+			request.DeadlineMS = c.extendLease(up)
+			up.pollExtends = true
+			request.Wait = maxPollWait
+			if up.ackable > up.ackConfirmed {
+				request.Wait = maxPollWait / 2
+			}
+			if up.isHeld(c.now) {
+				request.Wait = min(request.Wait, probation)
+			}
+		}
+		c.stats.Polls++
+		c.calls = append(c.calls, Poll{Target: up.target(), Request: request, seq: up.pollSeq})
+	}
+}
+
+// pollDue returns the earliest time of the next poll. An upstream answers a poll at once while it lists ends that are
+// not acknowledged, so the next poll waits until they can be acknowledged, but at most for unstoredPollInterval.
+func (u *upstream) pollDue() time.Duration {
+	if len(u.pendingAcks) > 0 && u.failedPolls == 0 {
+		return max(u.nextPoll, u.lastResponseAt+unstoredPollInterval)
+	}
+	return u.nextPoll
+}
+
+func (c *Core) needsPoll(up *upstream) bool {
+	switch {
+	case !up.fenced:
+		return up.listed || up.stored
+	case up.runs.len() > 0 || up.unknownRuns > 0 || up.moreEnds || up.pollWhenIdle:
+		return true
+	case up.failedPolls > 0 && up.listed:
+		return true // the upstream is not used until it answers
+	}
+	return up.ackable > up.ackConfirmed
+}
+
+// extendLease returns the deadline, on the upstream's clock, of a lease that starts now.
+func (c *Core) extendLease(up *upstream) int64 {
+	deadline := up.estimateClock(c.now) + c.Lease.Milliseconds()
+	up.maxDeadline = max(up.maxDeadline, deadline)
+	return deadline
+}
+
+// fencingEnded records that the upstream's poll no longer counts against maxFencing.
+func (c *Core) fencingEnded(up *upstream) {
+	if up.fencing {
+		up.fencing = false
+		c.fencing--
+	}
+}
+
+// HandlePollResult handles the result of a Poll.
+func (c *Core) HandlePollResult(poll Poll, result platform.PollResult, err error) {
+	up := c.upstreams.get(poll.Target.ID)
+	if up == nil || up.Address != poll.Target.Address || poll.seq != up.pollSeq {
+		return
+	}
+	up.polling = false
+	c.fencingEnded(up)
+	if err != nil {
+		c.pollFailed(up, err)
+		return
+	}
+	if up.failedPolls > 0 {
+		c.Log("upstream answers again", "upstream", up.ID, "failed_looks", up.failedPolls)
+	}
+	up.failedPolls, up.lastResponseAt, up.nextPoll = 0, c.now, c.now+minPollInterval
+	up.answeredSeq = poll.seq
+	if result.StartedMS != 0 && up.StartedMS != 0 && result.StartedMS < up.StartedMS {
+		return // late response from before a restart
+	}
+	if result.StartedMS != 0 && up.StartedMS != 0 && result.StartedMS > up.StartedMS {
+		c.handleRestart(up, result.StartedMS)
+	}
+	if result.StartedMS != 0 {
+		up.StartedMS = result.StartedMS
+	}
+	if result.MalformedRows > 0 {
+		c.Log("unreadable rows in an upstream's lists", "upstream", up.ID, "rows", result.MalformedRows)
+	}
+	first := !up.fenced
+	if result.MoreEnds && !up.moreEnds {
+		c.Log("upstream has more ends than it lists", "upstream", up.ID, "listed", len(result.Ended), "runs", up.runs.len(),
+			"reconciled", up.reconciled)
+	}
+	up.fenced, up.moreEnds = true, result.MoreEnds
+	up.reconciled = up.reconciled || !result.MoreEnds
+	up.readClock(result.ClockMS, c.now)
+	up.ackConfirmed = max(up.ackConfirmed, poll.Request.AckedSeq)
+	c.handleEnds(up, result.Ended)
+	c.handleRunning(up, result.Running, poll.seq)
+	c.noteIncarnation(up)
+	if first {
+		c.Log("upstream fenced", "upstream", up.ID, "token", c.Token, "born", up.StartedMS, "running", len(result.Running),
+			"ended", len(result.Ended))
+	}
+}
+
+// noteIncarnation compares the incarnation of an upstream that has answered with the one in the stored roster, which it
+// updates.
+func (c *Core) noteIncarnation(up *upstream) {
+	if up.StartedMS > up.storedStartMS {
+		c.countUnseenCrash(up)
+		up.storedStartMS = up.StartedMS
+		c.roster.set(up.ID, up)
+	}
+	up.inherited = false
+}
+
+func (c *Core) pollFailed(up *upstream, err error) {
+	var rejected *platform.RejectedError
+	if errors.As(err, &rejected) {
+		switch rejected.Reason {
+		case platform.RejectedFence:
+			c.superseded = true
+			c.Log("superseded by another owner", "upstream", up.ID, "token", c.Token)
+			return
+		case platform.RejectedOtherInstance:
+			c.handleReplaced(up)
+			return
+		}
+	}
+	up.failedPolls++
+	if up.failedPolls == 1 {
+		c.Log("upstream does not answer", "upstream", up.ID, "error", err.Error(), "runs", up.runs.len(),
+			"lease_left_ms", (up.leaseEnd() - c.now).Milliseconds())
+	}
+	delay := min(pollRetryDelay<<min(up.failedPolls-1, 6), maxPollRetryDelay)
+	up.nextPoll = c.now + delay
+}
+
+// handleReplaced handles the response of another upstream at an upstream's address, which proves that the expected one
+// has terminated.
+func (c *Core) handleReplaced(up *upstream) {
+	c.Log("another upstream answers at the address", "upstream", up.ID, "address", up.Address)
+	c.markTerminated(up, "another upstream is at its address")
+}
+
+// markTerminated records that an upstream definitely runs nothing any more, and requeues its runs.
+func (c *Core) markTerminated(up *upstream, reason string) {
+	c.loseRuns(up, reason)
+	c.countUnseenCrash(up)
+	up.terminated, up.reconciled, up.listed = true, true, false
+}
+
+// handleEnds processes the ends that have not been handled before, in order.
+func (c *Core) handleEnds(up *upstream, ends []platform.EndedRun) {
+	for _, end := range ends {
+		if end.Seq <= up.lastHandledEnd {
+			continue
+		}
+		up.lastHandledEnd = end.Seq
+		batch := c.lastBatch // a batch that is being stored may contain the record that covers the end
+		if c.handleEnd(up, end) {
+			batch = c.lastBatch + 1
+		}
+		up.pendingAcks = append(up.pendingAcks, pendingAck{end.Seq, batch})
+	}
+	up.advanceAck(c.durableBatch)
+}
+
+// handleRunning compares an upstream's running list with the known runs. Runs that are not listed are left alone while
+// there may be more ends.
+func (c *Core) handleRunning(up *upstream, running []platform.CurrentRun, seq uint64) {
+	up.unknownRuns = 0
+	for _, row := range running {
+		r := up.runs.get(row.Task)
+		if r == nil || r.attempt != row.Attempt {
+			r = c.adopt(up, row)
+		}
+		if r == nil {
+			continue
+		}
+		r.updateFromList(c, row, seq)
+	}
+	if up.moreEnds {
+		return
+	}
+	for _, r := range up.runs.all() {
+		if r.lastListed == seq || r.pollSeqAtReturn >= seq || r.state == runPlanned {
+			continue
+		}
+		c.handleUnlisted(r)
+	}
+}
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -101,16 +101,7 @@
 // one at a time.
 func TestLargeIdlePoolMovesToSparePoolQuickly(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(t)
-	listed := []platform.Machine{{Name: "m-off", Pool: sparePool, Phase: platform.MachineUp}}
-	for i := range 70 {
-		id := fmt.Sprintf("u-%02d", i)
-		h.addUpstream(id)
-		listed = append(listed, platform.Machine{Name: "m-" + id, Pool: testPool, Phase: platform.MachineUp, Upstream: id})
-	}
-	h.fenceAll(platform.PollResult{})
-	h.setUpSparePool()
-	h.core.SetMachines(listed)
+	h := newIdlePoolHarness(t, 70)
 	moved := h.runAndCollectMoves(6*time.Second, nil)
 	is.True(len(moved) >= 50) // 3 s without work, then 3 s of moves to the spare pool
 	for _, move := range moved {
@@ -170,12 +161,11 @@
 	is.Equal(moves[0].Machine, "m-off")
 }
 
-// newCrashedHarness returns a harness with a pool of idle machines, one of which has started anew: the entry of u-2, which
-// has crashed, is still there.
-func newCrashedHarness(t *testing.T) *harness {
+// newIdlePoolHarness returns a harness with a pool of idle machines and a spare pool.
+func newIdlePoolHarness(t *testing.T, machines int) *harness {
 	h := newHarness(t)
 	listed := []platform.Machine{{Name: "m-off", Pool: sparePool, Phase: platform.MachineUp}}
-	for i := range 14 {
+	for i := range machines {
 		id := fmt.Sprintf("u-%d", i)
 		h.addUpstream(id)
 		listed = append(listed, platform.Machine{Name: "m-" + id, Pool: testPool, Phase: platform.MachineUp, Upstream: id})
@@ -186,7 +176,7 @@
 	return h
 }
 
-// startAnew adds a new upstream on the machine of u-2.
+// startAnew adds a new upstream on the machine of u-2, which has crashed. The entry of u-2 is still there.
 func (h *harness) startAnew() {
 	entry := upstreamEntry("u-anew", 16000)
 	entry.Machine, entry.Labels = "m-u-2", []string{"z", "r1"}
@@ -198,7 +188,7 @@
 // for an idle machine, and the move ended the long-running tasks of the new one (AVAIL, review/REPORT.md).
 func TestMachineThatHasStartedAnewIsNotMoved(t *testing.T) {
 	is := is.New(t)
-	h := newCrashedHarness(t)
+	h := newIdlePoolHarness(t, 14)
 	h.startAnew()
 	h.addJob(1, job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1, Label: "z"})
 	for h.core.Stats().Starts == 0 {
@@ -222,7 +212,7 @@
 	}{"not answered": {platform.ErrOutcomeUnknown, false}, "refused": {platform.ErrMachineBusy, true}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			h := newCrashedHarness(t)
+			h := newIdlePoolHarness(t, 14)
 			var move schedule.Move
 			for _, issued := range h.runAndCollectMoves(6*time.Second, nil) {
 				if issued.Machine == "m-u-2" {
