schedule, owner: absent long-running tasks are reported, with the reason

The logs could not tell the hypotheses apart: 'tasks wait' counts a pool's tasks by three reasons and describes the oldest one, whichever it is; a run whose poll never returns had no line at all; a task that is given up was explained as waiting for room; how long a host knew no owner was not logged.

Now the owner logs, once a second and pool, the long-running task that has been without a run for longest (reason, and the upstreams counted by what keeps each from taking it) and the run whose upstream has been silent for longest (state of its poll). Both are counted in the metrics. 'owner known again' ends 'ownership not claimed'. No decision changes.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -79,7 +79,8 @@
 	for kind, n := range map[string]int{
 		"starts": stats.Starts, "done": stats.Done, "failed": stats.Failed, "requeued": stats.Requeued,
 		"stops": stats.Stops, "looks": stats.Polls, "refused": stats.RejectedStarts, "moves": stats.Moves, "jobs": jobs,
-		"upstreams": upstreams,
+		"upstreams": upstreams, "long_running_waiting": stats.LongRunningWaiting,
+		"long_running_unconfirmed": stats.LongRunningUnconfirmed,
 	} {
 		m.ownerCounts.WithLabelValues(kind).Set(float64(n))
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -136,12 +136,15 @@
 
 // Run competes for the ownership until ctx ends, and then gives up an ownership that it holds.
 func (o *Owner) Run(ctx context.Context) {
-	failing := false
+	var failingSince time.Duration // 0: the last claim found an owner or succeeded
 	for ctx.Err() == nil {
 		ownership, leaseRequested, err := o.claim(ctx)
+		if failingSince > 0 && (err == nil || errors.Is(err, ledger.ErrOwnedByOther)) {
+			o.Log("owner known again", "owned_here", err == nil, "after_ms", (clock.Now() - failingSince).Milliseconds())
+			failingSince = 0
+		}
 		switch {
 		case err == nil:
-			failing = false
 			err := o.runOwnership(ctx, ownership, leaseRequested)
 			if !errors.Is(err, errHandedOver) {
 				o.nextHandoverRequest = clock.Now() + handoverRequestPause
@@ -150,13 +153,12 @@
 				clock.Sleep(ctx, yieldPause)
 			}
 		case errors.Is(err, ledger.ErrOwnedByOther):
-			failing = false
 			o.waitForOwnerChange(ctx)
 		case ctx.Err() == nil:
-			if !failing {
+			if failingSince == 0 {
 				o.Log("ownership not claimed", "error", err.Error())
+				failingSince = clock.Now()
 			}
-			failing = true
 			clock.Sleep(ctx, retryDelay)
 		}
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -86,6 +86,8 @@
 	movable         *movableMachines // of the current round of sizing
 	nextReview      time.Duration
 	nextRunReview   time.Duration
+	// nextAbsentReport is the earliest time of the next report on long-running tasks that are not at work.
+	nextAbsentReport time.Duration
 	// lastMachineCommand is the number of the last command for a machine. The number is part of the fencing token, so
 	// that a delayed copy of an earlier command is rejected after a newer one.
 	lastMachineCommand uint64
@@ -124,9 +126,11 @@
 	endedMS int64
 }
 
-// Stats are counters of the core's actions.
+// Stats are counters of the core's actions, and its newest counts of absent tasks.
 type Stats struct {
 	Starts, Done, Failed, Requeued, Stops, Polls, RejectedStarts, Moves int
+	// Long-running tasks that are absent as of the last report: without a run, and with a run on a silent upstream.
+	LongRunningWaiting, LongRunningUnconfirmed int
 }
 
 type pool struct {
@@ -327,6 +331,7 @@
 	c.place()
 	c.resendCommands()
 	c.pollUpstreams()
+	c.reportAbsent()
 	calls := c.calls
 	c.calls = nil
 	return calls
--- a/schedule/explain.go
+++ b/schedule/explain.go
@@ -47,6 +47,7 @@
 	waitingForRetryDelay = "the pause after a failure"
 	waitingForCapacity   = "room on an upstream"
 	waitingForBundle     = "a configuration"
+	givenUp              = "given up after losses of its upstreams"
 )
 
 var runStateNames = map[runState]string{
@@ -100,6 +101,8 @@
 		return waitingForBundle
 	case !p.released:
 		return waitingForSteps
+	case t.isGivenUp():
+		return givenUp
 	case c.mayRunUnseen(p, t):
 		return waitingForLease
 	case c.now < t.notBefore:
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -25,6 +25,7 @@
 		}
 		up.polling = true
 		up.pollSeq++
+		up.polledAt = c.now
 		up.pollExtends = false
 		request := platform.PollRequest{Token: c.Token, AckedSeq: up.ackable}
 		// A poll does not extend the lease of an upstream that does not answer, because its runs have to end at a
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -42,6 +42,7 @@
 	pollSeq        uint64 // of the last poll that was sent
 	answeredSeq    uint64 // of the last poll that was answered
 	nextPoll       time.Duration
+	polledAt       time.Duration // when the last poll was sent
 	failedPolls    int
 	lastResponseAt time.Duration // time of the last response to a poll
 
