schedule: long-running tasks of one pool do not wait for starts of another's backlog

Cause: the number of starts in flight is limited for all pools together. It shrinks to 16 while responses take longer than 150 ms: on a slow owner, or one on a busy machine. Starving long-running tasks go first within their pool only, and the pools are placed one after another, so a pool with a backlog that can be on time takes each start that becomes free.

Change: the starving long-running tasks of all pools are placed before anything else.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -31,17 +31,24 @@
 			waiting = append(waiting, c.newPlacement(p))
 		}
 	}
-	for _, pl := range waiting {
-		pl.placeUntil(c, late)
+	for _, isNext := range []func(candidate) bool{candidate.isStarving, candidate.canBeOnTime, candidate.isAny} {
+		for _, pl := range waiting {
+			pl.placeWhile(c, isNext)
+		}
 	}
 	for _, pl := range waiting {
-		pl.placeUntil(c, tooLate+1)
 		c.reportBacklog(pl.pool, len(pl.usable))
 	}
 }
 
-// placement is the state of one pool while its waiting tasks are placed. All pools place what can be on time before one
-// of them places late work, because the number of starts in flight is limited for all pools together.
+// The candidates of all pools are placed in these turns.
+func (a candidate) isStarving() bool  { return a.starving }
+func (a candidate) canBeOnTime() bool { return a.timeliness < late }
+func (a candidate) isAny() bool       { return true }
+
+// placement is the state of one pool while its waiting tasks are placed. All pools place starving long-running tasks
+// before one of them places other work, and what can be on time before late work, because the number of starts in flight
+// is limited for all pools together.
 type placement struct {
 	pool   *pool
 	usable []*upstream
@@ -54,13 +61,13 @@
 	return &placement{pool: p, usable: usable, room: p.waiting.withRoom(usable)}
 }
 
-// placeUntil places the candidates in their order up to the first one that is at least as late as the given class.
-func (pl *placement) placeUntil(c *Core, timeliness int) {
+// placeWhile places the candidates in their order up to the first one whose turn it is not.
+func (pl *placement) placeWhile(c *Core, isNext func(candidate) bool) {
 	w := &pl.pool.waiting
 	c.wantedLabels = w.labels
 	for ; pl.next < len(w.list) && len(pl.usable) > 0; pl.next++ {
 		candidate := w.list[pl.next]
-		if candidate.timeliness >= timeliness || len(pl.room) == 0 && w.unbounded == 0 || !c.window.isOpen(len(c.plannedRuns)) {
+		if !isNext(candidate) || len(pl.room) == 0 && w.unbounded == 0 || !c.window.isOpen(len(c.plannedRuns)) {
 			return
 		}
 		pl.place(c, candidate)
--- a/schedule/window_test.go
+++ b/schedule/window_test.go
@@ -1,6 +1,8 @@
 package schedule_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,3 +112,40 @@
 	}
 	is.True(fast > len(first)/4)
 }
+
+// Guards against a long-running task that waits although its pool has room, because the backlog of another pool takes all
+// starts that a slow owner allows: LOST in plays of karri-sched-large trouble-3 (small).
+func TestBacklogOfOnePoolDoesNotDelayLongRunningTasksOfAnother(t *testing.T) {
+	h := newHarness(t)
+	for i := range 80 {
+		h.addUpstream(fmt.Sprintf("u-%d", i))
+	}
+	other := upstreamEntry("u-other", 16000)
+	other.Pool = "other"
+	h.core.SetUpstream(other)
+	h.core.RosterStored(schedule.RosterChange{Added: []platform.Upstream{other}})
+	h.fenceAll(platform.PollResult{})
+	h.addJob(1, job.Step{Count: 10000, Request: job.Resources{MilliCPU: 40}, Estimate: time.Minute}) // can be on time
+	starts := h.decide().starts
+	for range 12 { // the responses are slow, so that few starts are allowed at a time
+		h.advance(400 * time.Millisecond)
+		h.acceptStarts(starts)
+		starts = h.decide().starts
+	}
+	queue := testJobQueue()
+	queue.Name, queue.Pool, queue.Priority = "services", "other", 1
+	id := job.ID("00000000000000aa")
+	h.core.AddJob(&job.Job{
+		ID: id, Team: testTeam, Queue: queue, Spec: "s", AcceptedMS: h.now.Milliseconds(),
+		Steps: []job.Step{{Count: 1, Request: job.Resources{MilliCPU: 1000}, LongRunning: true}},
+	}, 200, false, nil, false)
+	for range 3 {
+		h.advance(400 * time.Millisecond)
+		h.acceptStarts(starts)
+		starts = h.decide().starts
+		if slices.ContainsFunc(starts, func(s schedule.Start) bool { return s.Command.Task.Job == id }) {
+			return
+		}
+	}
+	t.Fatal("the long-running task was not started")
+}
