schedule, owner: a process that owns the fleet again does not wait for the leases that it granted itself

What callers see: after an outage of the store, a long-running task whose upstream has gone waits for 5.4 s more, though its run lapsed in the outage.

Cause: a new owner cannot know when an earlier one last extended a lease, so it counts from its claim, and each claim begins the wait anew. But in most outages the same process owns the fleet before and after, and knows it.

Change: a core returns the time by which each upstream's leases have expired, of its owner and of earlier ones; the next ownership of the same process takes them over if no other generation lies between. An upstream is polled once before its tasks are given up, since it may list a run that is done. An upstream that has answered, but not listed all ends, now also keeps its tasks for this owner's own lease.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -77,10 +77,26 @@
 	ownerAddress atomic.Pointer[string] // address of the owner, as last read
 	bounds       atomic.Pointer[platform.Bounds]
 	fitness      float64
+	// last describes the last ownership of this process.
+	last lastOwnership
 	// nextHandoverRequest is the earliest time of the next handover request, by the monotonic clock.
 	nextHandoverRequest time.Duration
 }
 
+// lastOwnership is what a later ownership of the same process can rely on. It is used only by the goroutine of Run.
+type lastOwnership struct {
+	next      uint64                   // generation of the ownership that follows it
+	leaseEnds map[string]time.Duration // by upstream, see schedule.Core.LeaseEnds
+}
+
+// knownLeaseEnds returns the lease ends of the last ownership if no other one came between; otherwise nil.
+func (l *lastOwnership) knownLeaseEnds(generation uint64) map[string]time.Duration {
+	if l.next != generation {
+		return nil
+	}
+	return l.leaseEnds
+}
+
 // New returns an Owner that is idle until Run is called.
 func New(options Options) *Owner {
 	o := &Owner{Options: options, fitness: fitness(options.Settings.Capacity)}
@@ -240,6 +256,7 @@
 	s := newSession(o, ownership, lease)
 	o.ownerAddress.Store(&o.Address)
 	s.run(ownershipCtx)
+	o.last = lastOwnership{next: ownership.Generation + 1, leaseEnds: s.core.LeaseEnds()}
 	o.current.Store(nil)
 	cause := context.Cause(ownershipCtx)
 	end(nil)
--- a/owner/session.go
+++ b/owner/session.go
@@ -87,6 +87,7 @@
 	s.core = schedule.New(schedule.Options{
 		Bounds: bounds, Lease: min(upstreamLease, bounds.MaxLease),
 		Generation: ownership.Generation, Token: ownership.Token, Claimed: s.claimedAt, Log: o.Log,
+		KnownLeaseEnds: o.last.knownLeaseEnds(ownership.Generation),
 	})
 	s.core.Observe = o.Observe.JobEnded
 	return s
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -55,6 +55,9 @@
 	Generation uint64        // number of ownerships before this one
 	Token      uint64        // fencing token
 	Claimed    time.Duration // when the ownership was claimed, on the caller's monotonic clock
+	// KnownLeaseEnds is what LeaseEnds of the previous ownership's core returned, if this process held that ownership too;
+	// otherwise nil.
+	KnownLeaseEnds map[string]time.Duration
 	// Log is called once for each decision about a job and each change of the core's state.
 	Log func(event string, fields ...any)
 	// Observe is called once for each job that ends, with the time since the job was accepted.
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -106,13 +106,21 @@
 	}
 	up := &upstream{
 		Upstream: entry, runs: newOrderedMap[job.TaskID, *run](), stored: true, rack: platform.RackOf(entry.Labels),
-		inherited: true, storedStartMS: entry.StartedMS,
+		inherited: true, storedStartMS: entry.StartedMS, earlierLeaseEnd: c.earlierLeaseEnd(entry.ID),
 	}
 	c.upstreams.set(entry.ID, up)
 	c.pool(entry.Pool).addUpstream(up)
 	c.noteNewestUpstream(up)
 }
 
+// earlierLeaseEnd returns the time by which the leases of earlier owners on an upstream of the stored roster have expired.
+func (c *Core) earlierLeaseEnd(id string) time.Duration {
+	if end, known := c.KnownLeaseEnds[id]; known {
+		return end
+	}
+	return c.Claimed + c.inheritedLease()
+}
+
 // InheritOldUpstream adds an upstream as InheritUpstream does, and has it stored again.
 func (c *Core) InheritOldUpstream(entry platform.Upstream) {
 	c.InheritUpstream(entry)
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -24,17 +24,26 @@
 
 // harness drives a core step by step: the test chooses the time, the responses and which responses are lost.
 type harness struct {
-	t    *testing.T
-	core *schedule.Core
-	now  time.Duration
+	t          *testing.T
+	core       *schedule.Core
+	now        time.Duration
+	generation uint64 // number of claims
 }
 
 func newHarness(t *testing.T) *harness {
 	h := &harness{t: t, now: time.Hour}
+	h.claim(nil)
+	return h
+}
+
+// claim replaces the core by that of a new ownership, which knows the given lease ends.
+func (h *harness) claim(knownLeaseEnds map[string]time.Duration) {
+	h.generation++
 	h.core = schedule.New(schedule.Options{
-		Bounds: testBounds, Lease: testLease, Token: 7, Claimed: h.now,
-		Log:     func(event string, fields ...any) { t.Log(append([]any{h.now, event}, fields...)...) },
-		Observe: func(string, string, string, time.Duration) {},
+		Bounds: testBounds, Lease: testLease, Generation: h.generation - 1, Token: 6 + h.generation, Claimed: h.now,
+		KnownLeaseEnds: knownLeaseEnds,
+		Log:            func(event string, fields ...any) { h.t.Log(append([]any{h.now, event}, fields...)...) },
+		Observe:        func(string, string, string, time.Duration) {},
 	})
 	h.advance(0)
 	h.core.SetBundle(&platform.Bundle{
@@ -42,7 +51,6 @@
 		Queues: []platform.BundleQueue{{Queue: testJobQueue()}},
 		Teams:  []platform.BundleTeam{{Name: testTeam, Weight: 1}},
 	})
-	return h
 }
 
 func testJobQueue() job.Queue {
--- a/schedule/lease_test.go
+++ b/schedule/lease_test.go
@@ -174,3 +174,55 @@
 	}
 	t.Fatal("not started again")
 }
+
+// Guards against a task that waits for the end of a lease that the owner itself granted and knows to have expired: after an
+// outage of the store the owner's process claims the ownership again, while the task's upstream is gone (LOST in real runs).
+func TestTakeoverByTheSameProcessDoesNotWaitForItsOwnLeases(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.addUpstream("u-gone")
+	h.fenceAll(platform.PollResult{})
+	step := job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, LongRunning: true}
+	id := h.addJob(1, step)
+	h.acceptStarts(h.decide().starts)
+	granted := h.now
+	h.advance(testLease + 3*time.Second) // the store is away
+	ends := h.core.LeaseEnds()
+	is.True(ends["u-gone"] > granted+testLease)
+	is.True(ends["u-gone"] < granted+testLease+time.Second)
+
+	h.claim(ends)
+	h.core.InheritUpstream(upstreamEntry("u-gone", 16000))
+	h.addUpstream("u-1")
+	progress := job.Progress{Phase: job.Active, Parts: []job.PartProgress{{}}}
+	progress.Parts[0].RecordPlacement(0, "u-gone")
+	h.inheritJob(id, step, progress)
+	claimed := h.now
+	for h.now < claimed+testLease {
+		c := h.decide()
+		if len(c.starts) > 0 {
+			is.Equal(c.starts[0].Target.ID, "u-1")
+			is.True(h.now < claimed+time.Second)
+			return
+		}
+		for _, poll := range c.polls {
+			if poll.Target.ID == "u-gone" {
+				h.core.HandlePollResult(poll, platform.PollResult{}, lostStart)
+			} else {
+				h.answerPoll(poll, platform.PollResult{})
+			}
+		}
+		h.advance(50 * time.Millisecond)
+	}
+	t.Fatal("not started")
+}
+
+// Guards against a restart beside a run that an owner before this process may have left on an upstream.
+func TestLeaseEndsIncludeThoseOfEarlierOwners(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.core.InheritUpstream(upstreamEntry("u-1", 16000))
+	claimed := h.now
+	h.advance(time.Second)
+	is.True(h.core.LeaseEnds()["u-1"] > claimed+testLease)
+}
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -125,8 +125,12 @@
 	o := &simOwner{token: sim.revision, leaseEnd: sim.now + ownerLeaseTTL}
 	generation := sim.nextGeneration
 	sim.nextGeneration++
+	var known map[string]time.Duration
+	if sim.owner != nil && rapid.Bool().Draw(sim.t, "same process") {
+		known = sim.owner.core.LeaseEnds()
+	}
 	o.core = schedule.New(schedule.Options{
-		Bounds: testBounds, Lease: simLease, Generation: generation, Token: o.token, Claimed: sim.now,
+		Bounds: testBounds, Lease: simLease, Generation: generation, Token: o.token, Claimed: sim.now, KnownLeaseEnds: known,
 		Log:     sim.log,
 		Observe: func(string, string, string, time.Duration) {},
 	})
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -20,8 +20,10 @@
 	// storedStartMS is its StartedMS in the stored roster.
 	storedStartMS int64
 	inherited     bool // from an earlier owner's roster and not reached yet
-	fenced        bool // it has answered a poll with this owner's token
-	reconciled    bool // the runs that an earlier owner may have started there are known or have ended
+	// earlierLeaseEnd is the time by which the leases that earlier owners granted have expired; 0: they granted none.
+	earlierLeaseEnd time.Duration
+	fenced          bool // it has answered a poll with this owner's token
+	reconciled      bool // the runs that an earlier owner may have started there are known or have ended
 
 	cordoned     bool // excluded from placement because of its machine's upkeep or move
 	released     bool // excluded from placement so that its machine can move to another pool
@@ -99,6 +101,11 @@
 	return max(u.clockAt+time.Duration(left*float64(time.Millisecond))+leaseSlack, u.minLeaseEnd)
 }
 
+// lastLeaseEnd returns the time by which the leases of this owner and of earlier ones have expired.
+func (u *upstream) lastLeaseEnd() time.Duration {
+	return max(u.earlierLeaseEnd, u.minLeaseEnd, u.leaseEnd())
+}
+
 // advanceAck allows the acknowledgement of the ends whose batches are stored; durable is the last stored batch.
 func (u *upstream) advanceAck(durable uint64) {
 	for len(u.pendingAcks) > 0 && u.pendingAcks[0].batch <= durable {
@@ -148,9 +155,9 @@
 // expireLeases handles upstreams whose lease must have expired, and removes those that are no longer needed.
 func (c *Core) expireLeases() {
 	for _, up := range c.upstreams.all() {
-		if !up.reconciled && !up.isListingEnds() && c.now > c.Claimed+c.inheritedLease() {
+		if !up.reconciled && c.earlierLeaseExpired(up) {
 			up.reconciled = true
-			c.Log("lease of an earlier owner has expired", "upstream", up.ID)
+			c.Log("lease of an earlier owner has expired", "upstream", up.ID, "claimed_ms_ago", (c.now - c.Claimed).Milliseconds())
 			c.countUnseenCrash(up)
 		}
 		if up.failedPolls > 0 && up.fenced && up.runs.len() > 0 && c.now > up.leaseEnd() {
@@ -173,6 +180,22 @@
 	return u.fenced && !u.polling && u.unknownRuns == 0 && !u.moreEnds && u.ackable <= u.ackConfirmed
 }
 
+// earlierLeaseExpired reports whether nothing of an earlier owner runs on an upstream that has not been reached. If that has
+// been known since the claim, the upstream is polled once before, since it may list a run that is done.
+func (c *Core) earlierLeaseExpired(up *upstream) bool {
+	return !up.isListingEnds() && c.now > up.lastLeaseEnd() && (up.failedPolls > 0 || c.now > c.Claimed+c.inheritedLease())
+}
+
+// LeaseEnds returns for each known upstream the time by which all leases there have expired, whichever owner granted them and
+// whichever commands have reached the upstream.
+func (c *Core) LeaseEnds() map[string]time.Duration {
+	ends := make(map[string]time.Duration, c.upstreams.len())
+	for id, up := range c.upstreams.all() {
+		ends[id] = up.lastLeaseEnd()
+	}
+	return ends
+}
+
 // inheritedLease returns how long after the claim an earlier owner's runs may continue unseen.
 func (c *Core) inheritedLease() time.Duration {
 	return time.Duration(float64(c.Lease)/minClockRate) + takeoverMargin
