schedule, owner, ledger: a series of short ownerships does not prolong the wait for a lease

What callers see: after an upstream is gone, a long-running task that ran there is not started again while owners follow one another (a small host that claims first and hands over, owners that lose their lease on busy machines), since each new owner waits for 5.4 s from its own claim before it starts a task whose upstream it has not reached.

Cause: a bound that begins anew with each owner. None of them knows when an earlier one last extended a lease there.

Change: 0.5 s after its claim, and again every 0.5 s, an owner stores the upstreams that it has not reached since, with the rest of their leases (cg/unreached; nothing is written if all were reached). It extends no lease on an upstream that the record names before a record without it is stored. The next owner counts from there. A record of another owner than the previous one is void, so that versions that do not know it may come between.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,6 +12,7 @@
 //	cg/roster/ID        an upstream on which tasks may run
 //	cg/roster           all of these upstreams in one record, as earlier versions stored them
 //	cg/ordered          machines for which the owner may have sent commands
+//	cg/unreached        upstreams that the owner has not reached since its claim, with the rest of their leases
 //	cg/pending          for each queue, the number of jobs of which no task has begun
 //	cg/wave/N           progress of a maintenance wave
 package ledger
@@ -36,6 +37,7 @@
 	rosterPrefix   = "cg/roster/"
 	oldRosterKey   = "cg/roster"
 	commandedKey   = "cg/ordered"
+	unreachedKey   = "cg/unreached"
 	pendingKey     = "cg/pending"
 	wavePrefix     = "cg/wave/"
 	cancelSuffix   = "/cancel"
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -306,6 +306,21 @@
 	return job.Decode(item.Value, commanded)
 }
 
+// UnreachedWrite returns the write that stores the upstreams that the owner has not reached.
+func UnreachedWrite(unreached any) (platform.Write, error) {
+	value, err := job.Encode(unreached)
+	return platform.Write{Key: unreachedKey, Value: value}, err
+}
+
+// Unreached decodes the record of UnreachedWrite into unreached, which stays unchanged if there is none.
+func (l *Ledger) Unreached(ctx context.Context, unreached any, timeout time.Duration) error {
+	item, err := l.kv.Get(ctx, unreachedKey, timeout)
+	if err != nil || item.Revision == 0 {
+		return err
+	}
+	return job.Decode(item.Value, unreached)
+}
+
 // DecodeOwner decodes the owner's item. It returns an empty record if the key does not exist.
 func DecodeOwner(item platform.Item) (OwnerRecord, error) {
 	var record OwnerRecord
--- a/owner/load.go
+++ b/owner/load.go
@@ -26,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.readUnreached(ctx); err != nil {
+		return err
+	}
 	if err := s.readCommandedMachines(ctx); err != nil {
 		return err
 	}
@@ -65,6 +68,20 @@
 	return len(roster) + len(old), nil
 }
 
+// readUnreached reads which upstreams of the roster the previous owner had not reached. Without a readable record their leases
+// are counted from the claim.
+func (s *session) readUnreached(ctx context.Context) error {
+	var unreached schedule.UnreachedUpstreams
+	err := s.Ledger.Unreached(ctx, &unreached, readTimeout)
+	if errors.Is(err, job.ErrBadRecord) {
+		s.Log("unreadable record of unreached upstreams", "error", err.Error())
+		return nil
+	}
+	s.core.SetTime(clock.Now(), clock.WallMS()) // the rest of a lease counts from the read
+	s.core.InheritUnreached(unreached)
+	return err
+}
+
 // readCommandedMachines reads for which machines an earlier owner may have sent commands. If the record is
 // unreadable, the earlier owner may have sent one for any machine.
 func (s *session) readCommandedMachines(ctx context.Context) error {
--- a/owner/store.go
+++ b/owner/store.go
@@ -98,6 +98,13 @@
 		}
 		b.set(write)
 	}
+	if batch.Unreached != nil {
+		write, err := ledger.UnreachedWrite(batch.Unreached)
+		if err != nil {
+			return nil, err
+		}
+		b.set(write)
+	}
 	if pending != nil {
 		write, err := ledger.PendingWrite(pending, clock.WallMS())
 		if err != nil {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -101,6 +101,8 @@
 	inheritedCommands map[string]bool
 	unknownCommands   bool // an earlier owner may have sent commands for any machine
 
+	unreached unreachedRecord
+
 	calls []Call
 	// anyUnreconciled is set while some upstream has not been reached since the claim.
 	anyUnreconciled bool
@@ -170,7 +172,8 @@
 		evacuated: map[string]bool{}, dirty: newOrderedMap[job.ID, *jobState](), begun: newOrderedMap[job.ID, time.Duration](),
 		unresolvedRuns: newOrderedMap[*run, struct{}](),
 		retiredIDs:     map[job.ID]struct{}{}, waves: newOrderedMap[int, *wave](),
-		moves: newOrderedMap[string, *machineMove](), moveRetryAt: map[string]time.Duration{},
+		unreached: unreachedRecord{cleared: map[string]uint64{}},
+		moves:     newOrderedMap[string, *machineMove](), moveRetryAt: map[string]time.Duration{},
 		commands: newOrderedMap[string, *machineCommands](), inheritedCommands: map[string]bool{},
 	}
 }
@@ -318,6 +321,7 @@
 func (c *Core) Decide() []Call {
 	c.addDueOccurrences()
 	c.expireLeases()
+	c.reviewUnreached()
 	c.markBegunJobs()
 	if c.now >= c.nextReview {
 		c.nextReview = c.now + reviewInterval
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -198,7 +198,7 @@
 // move to another pool.
 func (c *Core) isInService(up *upstream) bool {
 	return up.listed && up.fenced && up.stored && !up.terminated && !up.Draining && up.failedPolls == 0 && up.unknownRuns == 0 &&
-		!c.evacuated[up.Zone] && !up.cordoned && !up.health.isExcluded(c.now)
+		!c.evacuated[up.Zone] && !up.cordoned && !up.health.isExcluded(c.now) && c.mayExtendLease(up)
 }
 
 func (p *pool) hasUnreconciled() bool {
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -30,7 +30,7 @@
 		request := platform.PollRequest{Token: c.Token, AckedSeq: up.ackable}
 		// A poll does not extend the lease of an upstream that does not answer, because its runs have to end at a
 		// known time.
-		if up.runs.len() > 0 && up.fenced && up.failedPolls == 0 {
+		if up.runs.len() > 0 && up.fenced && up.failedPolls == 0 && c.mayExtendLease(up) {
 			request.DeadlineMS = c.extendLease(up)
 			up.pollExtends = true
 			request.Wait = maxPollWait
@@ -116,7 +116,7 @@
 		c.Log("upstream has more ends than it lists", "upstream", up.ID, "listed", len(result.Ended), "runs", up.runs.len(),
 			"reconciled", up.reconciled)
 	}
-	up.fenced, up.moreEnds = true, result.MoreEnds
+	up.fenced, up.reached, up.moreEnds = true, true, result.MoreEnds
 	up.reconciled = up.reconciled || !result.MoreEnds
 	up.readClock(result.ClockMS, c.now)
 	up.ackConfirmed = max(up.ackConfirmed, poll.Request.AckedSeq)
--- a/schedule/records.go
+++ b/schedule/records.go
@@ -17,7 +17,8 @@
 type RecordBatch struct {
 	Number            uint64
 	Jobs              []Record
-	CommandedMachines *CommandedMachines // nil: unchanged
+	CommandedMachines *CommandedMachines  // nil: unchanged
+	Unreached         *UnreachedUpstreams // nil: unchanged
 }
 
 // markDirty marks a job's progress for storing.
@@ -55,7 +56,7 @@
 // TakeRecords returns the next batch of records.
 func (c *Core) TakeRecords() RecordBatch {
 	c.lastBatch++
-	batch := RecordBatch{Number: c.lastBatch, CommandedMachines: c.takeCommandedMachines()}
+	batch := RecordBatch{Number: c.lastBatch, CommandedMachines: c.takeCommandedMachines(), Unreached: c.takeUnreached()}
 	for id, j := range c.dirty.all() {
 		batch.Jobs = append(batch.Jobs, Record{ID: id, Progress: j.snapshot()})
 		c.dirty.delete(id)
@@ -87,7 +88,7 @@
 
 // HasUnstoredRecords reports whether TakeRecords would return any records.
 func (c *Core) HasUnstoredRecords() bool {
-	if c.dirty.len() > 0 || c.commandsDirty {
+	if c.dirty.len() > 0 || c.commandsDirty || c.unreached.dirty {
 		return true
 	}
 	horizon := c.wallMS - retentionFactor*c.Bounds.Retention.Milliseconds()
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -25,6 +25,7 @@
 	calls          []*pendingCall
 	revision       uint64
 	stored         map[job.ID]*storedJob
+	unreached      schedule.UnreachedUpstreams
 	submitted      []job.ID
 	roster         []platform.Upstream
 	nextGeneration uint64
@@ -142,6 +143,7 @@
 	for _, entry := range sim.roster {
 		o.core.InheritUpstream(entry)
 	}
+	o.core.InheritUnreached(sim.unreached)
 	for _, u := range sim.upstreams {
 		if !u.dead {
 			o.core.SetUpstream(u.entry())
@@ -228,6 +230,9 @@
 			return // another owner has claimed: the transaction's condition fails
 		}
 		applied = true
+		if batch.Unreached != nil {
+			sim.unreached = *batch.Unreached
+		}
 		for _, record := range batch.Jobs {
 			if record.Remove {
 				sim.checkRemoval(sim.stored[record.ID])
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -23,6 +23,7 @@
 	// earlierLeaseEnd is the time by which the leases that earlier owners granted have expired; 0: they granted none.
 	earlierLeaseEnd time.Duration
 	fenced          bool // it has answered a poll with this owner's token
+	reached         bool // it, or an earlier incarnation, has answered a poll of this owner
 	reconciled      bool // the runs that an earlier owner may have started there are known or have ended
 
 	cordoned     bool // excluded from placement because of its machine's upkeep or move
