schedule: a rejected copy of a machine command does not undo one without a response

Callers saw: after an upkeep or a move got no answer, a copy that the platform rejected unseen (429, 503: its limit on such calls) or that was not sent made the core take the machine for untouched.

Cause: isDefiniteFailure judged each copy alone. ErrNotExecuted says that this copy had no effect, nothing about an earlier one. Now such a copy is sent again, as after no answer, until one copy has a response that shows the machine's state.

--- a/schedule/sizing.go
+++ b/schedule/sizing.go
@@ -54,6 +54,7 @@
 	from             string
 	since            time.Duration
 	accepted         bool
+	unanswered       bool          // a copy of the command got no answer
 	retryAt          time.Duration // 0: a command is in flight or was accepted
 	previousUpstream string        // upstream at the time of the command
 }
@@ -333,7 +334,7 @@
 		if up := c.upstreams.get(m.previousUpstream); up != nil && up.Pool != m.Pool {
 			c.markTerminated(up, "its machine has moved")
 		}
-	case isDefiniteFailure(err):
+	case isDefiniteFailure(err, m.unanswered):
 		c.Log("move refused", "machine", m.Machine, "from", m.from, "to", m.Pool, "error", err.Error())
 		c.moves.delete(call.Machine)
 		c.moveRetryAt[call.Machine] = c.now + moveRejectedDelay
@@ -342,7 +343,7 @@
 		}
 		c.uncordon(m.Machine)
 	default:
-		m.retryAt = c.now + moveRetryDelay
+		m.unanswered, m.retryAt = true, c.now+moveRetryDelay
 		c.Log("move got no answer", "machine", m.Machine, "to", m.Pool, "error", err.Error())
 	}
 }
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -36,6 +36,7 @@
 	previousStartedMS int64
 	pollSeqAtAccept   uint64 // last poll of that upstream sent before the command was accepted
 	retryAt           time.Duration
+	unanswered        bool   // a copy of the command got no answer
 	number            uint64 // of the command
 	missingLists      int    // consecutive lists of machines without this one
 }
@@ -249,7 +250,7 @@
 			m.previousUpstream, m.previousStartedMS = up.ID, up.StartedMS
 		}
 		c.lastMachineCommand++
-		m.number = c.lastMachineCommand
+		m.number, m.unanswered = c.lastMachineCommand, false
 		c.issueUpkeep(w, m)
 	case machineCommandSent:
 		if m.retryAt > 0 && c.now >= m.retryAt {
@@ -314,21 +315,25 @@
 		if up := c.upstreams.get(m.previousUpstream); up != nil {
 			up.pollWhenIdle, m.pollSeqAtAccept = true, up.pollSeq
 		}
-	case isDefiniteFailure(err):
+	case isDefiniteFailure(err, m.unanswered):
 		// The command had no effect: the machine stays in service until it is tried again.
 		m.state, m.retryAt = machineWaiting, c.now+rejectedUpkeepDelay
 		c.uncordon(m.name)
 		c.Log("upkeep refused", "wave", w.Number, "machine", m.name, "error", err.Error())
 	default:
-		m.retryAt = c.now + upkeepRetryDelay
+		m.unanswered, m.retryAt = true, c.now+upkeepRetryDelay
 		c.Log("upkeep got no answer", "wave", w.Number, "machine", m.name, "error", err.Error())
 	}
 }
 
-// isDefiniteFailure reports whether an error means that the command was not carried out.
-func isDefiniteFailure(err error) bool {
+// isDefiniteFailure reports whether an error means that no copy of the command was carried out. If an earlier copy got no
+// answer, a copy that was rejected unseen or not sent says nothing about it.
+func isDefiniteFailure(err error, unanswered bool) bool {
+	if errors.Is(err, platform.ErrNotExecuted) {
+		return !unanswered
+	}
 	for _, definite := range []error{
-		platform.ErrNotExecuted, platform.ErrMachineBusy, platform.ErrMachineFenced, platform.ErrNotInWave, platform.ErrMachineNotFound,
+		platform.ErrMachineBusy, platform.ErrMachineFenced, platform.ErrNotInWave, platform.ErrMachineNotFound,
 	} {
 		if errors.Is(err, definite) {
 			return true
