--- a/testbed/fleet/owner_test.go
+++ b/testbed/fleet/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -166,3 +167,48 @@
 		is.Equal(status, http.StatusGone) // the owner answered that the job does not exist
 	}
 }
+
+// TestFleetHasAnOwnerWhileStoreRejectsCalls guards against a fleet without an owner for as long as the store rejects a part
+// of the calls, since all hosts together make more than it allows: a claim and the reads of the state that follow it began
+// anew after each rejected call, and never came to their end.
+func TestFleetHasAnOwnerWhileStoreRejectsCalls(t *testing.T) {
+	h := startFleetWithHost(t)
+	defer h.stop()
+	isOwner := func() bool {
+		status, _ := h.explain(jobID(1))
+		return status == http.StatusGone // the owner has loaded its state and knows no such job
+	}
+	waitUntil(t, 3*time.Second, "first owner", isOwner)
+	h.fleet.Store.SetFaults(fleet.StoreFaults{Unavailable: true})
+	waitUntil(t, 3*time.Second, "end of the ownership", func() bool { return !isOwner() })
+	h.fleet.Store.SetFaults(fleet.StoreFaults{RejectedShare: 0.3})
+	waitUntil(t, 5*time.Second, "next owner", isOwner)
+}
+
+// TestFollowersWatchCompactedStore guards against hosts that read the owner's record again and again after the store has
+// discarded the history since the claim: their calls count toward the limit that all hosts share, also the owner.
+func TestFollowersWatchCompactedStore(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	defer f.Close()
+	owner := addHost(t, f, "edge-1", setLargeCapacity)
+	defer owner.stop()
+	waitOwner(t, f, "edge-1", 3*time.Second)
+	const followers = 4
+	for i := range followers {
+		defer addHost(t, f, fmt.Sprintf("edge-%d", i+2), setLargeCapacity).stop()
+	}
+	callsIn := func(d time.Duration) int {
+		before := f.Store.CallCount()
+		time.Sleep(d)
+		return f.Store.CallCount() - before
+	}
+	const period = 3 * time.Second
+	usual := callsIn(period)
+	f.Store.Put("other", nil)
+	f.Store.Compact()
+	time.Sleep(period) // until the watches that wait now have ended
+	after := callsIn(period)
+	t.Logf("%d calls before, %d after", usual, after)
+	is.True(after < 2*usual)
+}
--- a/testbed/fleet/store.go
+++ b/testbed/fleet/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -44,12 +45,14 @@
 	leases            map[uint64]*lease
 	changed           chan struct{} // closed and replaced at each change
 	faults            StoreFaults
+	random            *rand.Rand
 	Calls             int // number of requests received
 }
 
 // StoreFaults are faults that a Store injects. The zero value is no fault.
 type StoreFaults struct {
 	Unavailable     bool          // rejects every request with 503
+	RejectedShare   float64       // share of the requests, chosen by a fixed seed, that are rejected with 429
 	DropNthResponse int           // drops the response to each transaction whose revision is a multiple of this; 0 for none
 	Latency         time.Duration // delays every request
 	// ListLatency delays each read of a whole prefix (one that ends with a slash), as a slow link does.
@@ -67,7 +70,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{})}
+	return &Store{
+		revision: 1, items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}),
+		random: rand.New(rand.NewPCG(1, 1)),
+	}
 }
 
 // SetFaults replaces the injected faults.
@@ -109,6 +115,13 @@
 	s.history, s.compactedRevision = nil, s.revision
 }
 
+// CallCount returns the number of requests received.
+func (s *Store) CallCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Calls
+}
+
 func (s *Store) put(key string, value []byte, leaseID uint64) {
 	created := s.items[key].Created
 	if created == 0 {
@@ -166,12 +179,17 @@
 	s.Calls++
 	s.expireLeases()
 	faults := s.faults
+	isOverLimit := s.random.Float64() < faults.RejectedShare
 	s.mu.Unlock()
 	time.Sleep(faults.Latency)
 	if faults.Unavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if isOverLimit {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	query := r.URL.Query()
 	if faults.SilentPrefix != "" && strings.HasPrefix(query.Get("prefix")+query.Get("key"), faults.SilentPrefix) {
 		<-r.Context().Done()
