schedule: a late response to a poll does not bring back the runs of an ended upstream

Callers saw: a task is never started again although its run has ended, and no log line tells why.

Cause: once another upstream answers at an upstream's address, the latter has ended: its runs are lost and it is not polled any more. A response to an earlier poll of it that is handled after that (responses on different connections overtake each other, and an owner that was paused handles all that came meanwhile at once) listed the runs, and the core adopted them again. Since the upstream is neither polled nor watched for the end of its lease, nothing ended them.

TestLatePollOfEndedUpstreamShowsNoRuns failed before, here and on.

--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -93,6 +93,9 @@
 		c.pollFailed(up, err)
 		return
 	}
+	if up.terminated {
+		return // late response from before the end
+	}
 	if up.failedPolls > 0 {
 		c.Log("upstream answers again", "upstream", up.ID, "failed_looks", up.failedPolls)
 	}
