schedule: starts without a response end although their upstream is not reached after its restart

Callers saw: a task is never started again after its start got no response and its upstream started anew under the same ID and was never reached again.

Cause: the new incarnation may carry out a start that is under way, so its run is kept until a response, an end or the end of the lease shows otherwise. The lease was followed for upstreams only that have answered since their start.

Workers of the platform get a new ID with each life, as we read it.

--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -170,6 +170,7 @@
 		up.runs.set(r.id(), r)
 		c.stopRun(r, "its upstream has started anew")
 	}
+	up.unreachedLeaseEnd = c.now + maxLateness + time.Duration(float64(c.Bounds.MaxLease)/minClockRate) + leaseSlack
 	up.StartedMS = startedMS
 	up.lastHandledEnd, up.ackable, up.ackConfirmed, up.pendingAcks = 0, 0, 0, nil
 	// An upstream that this owner has not fenced yet may have restarted before an earlier owner started tasks there.
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -35,6 +35,9 @@
 	maxDeadline int64 // latest lease deadline in any command that may have reached the upstream
 	// minLeaseEnd is the earliest time by which the lease can be known to have expired, whatever maxDeadline is.
 	minLeaseEnd time.Duration
+	// unreachedLeaseEnd is when the lease of starts without a response has expired on an upstream that has started anew and
+	// has not been reached since.
+	unreachedLeaseEnd time.Duration
 
 	polling        bool
 	pollExtends    bool   // the poll in flight extends the lease
@@ -92,7 +95,7 @@
 // reached it.
 func (u *upstream) leaseEnd() time.Duration {
 	if !u.fenced {
-		return 0
+		return u.unreachedLeaseEnd
 	}
 	left := float64(max(u.maxDeadline-u.clockMS, 0)) / minClockRate
 	return max(u.clockAt+time.Duration(left*float64(time.Millisecond))+leaseSlack, u.minLeaseEnd)
@@ -152,7 +155,7 @@
 			c.Log("lease of an earlier owner has expired", "upstream", up.ID)
 			c.countUnseenCrash(up)
 		}
-		if up.failedPolls > 0 && up.fenced && up.runs.len() > 0 && c.now > up.leaseEnd() {
+		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.leaseEnd() {
 			c.loseRuns(up, "its lease has expired")
 		}
 		if !up.listed && up.reconciled && up.stored && up.runs.len() == 0 && (up.terminated || up.failedPolls > 0 || up.isIdle()) {
