owner: the core learns of each call that was not sent

Callers saw: nothing in the logs, and an upstream that is not polled any more, so that its runs lapse unseen; or a start, stop or pace in flight for ever, a machine cordoned for ever, a step that never gets tickets.

Cause: session.send drops a call if the lease is not certain to be valid at that instant. A renewal whose response arrives a moment later extends the lease, the session goes on, and the core waits for the result of the dropped call.

Now the core gets ErrNotExecuted, which is true: nothing of the call was sent. A start is placed again, a poll, stop or pace is sent again, and a machine command counts as not carried out unless an earlier copy got no answer. Ending the ownership instead was considered: the store has renewed the lease, so no other host can have been the owner meanwhile, and a takeover would cost the fleet more. Each such call has a log line now.

TestNothingIsSentAfterTheLeaseHasExpired counted the events of calls that were sent and took for granted that dropped ones have none; it now expects one event for each of both, and as before no request.

--- a/owner/session.go
+++ b/owner/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -212,11 +213,16 @@
 	s.core.SetEvacuated(state.Evacuated)
 }
 
+// errLeaseUncertain is the result of a call that was not sent because the lease may have expired.
+var errLeaseUncertain = errors.Wrap(platform.ErrNotExecuted, "the lease may have expired")
+
 // send makes a call for the core in a new goroutine and posts its result to the event loop. The process may have been
-// paused since the decision, so a call whose lease has expired meanwhile is dropped.
+// paused since the decision, so a call whose lease may have expired meanwhile is not sent. The core learns of that as well:
+// the response to a renewal may come a moment later, and then the ownership goes on.
 func (s *session) send(ctx context.Context, call schedule.Call) {
 	go func() {
 		if !s.lease.valid() {
+			s.post(ctx, func(s *session) { s.handleNotSent(call) })
 			return
 		}
 		if event := s.execute(ctx, call); event != nil {
@@ -225,6 +231,11 @@
 	}()
 }
 
+func (s *session) handleNotSent(call schedule.Call) {
+	s.Log("call not sent: the lease may have expired", "call", fmt.Sprintf("%T", call), "left_ms", s.lease.remaining().Milliseconds())
+	s.core.HandleNotSent(call, errLeaseUncertain)
+}
+
 func (s *session) execute(ctx context.Context, call schedule.Call) func(*session) {
 	switch call := call.(type) {
 	case schedule.Start:
--- a/owner/session_test.go
+++ b/owner/session_test.go
@@ -57,6 +57,9 @@
 	for _, call := range calls {
 		s.send(t.Context(), call)
 	}
+	for range len(calls) {
+		<-s.events // the core learns of each that it was not sent
+	}
 	time.Sleep(200 * time.Millisecond)
 	is.Equal(requests.Load(), int32(0))
 	s.lease.extend(clock.Now())
