owner: failing test: queued events are handled with the time of an earlier one

The session sets the core's time before the first of the queued events only, and then pauses for up to 25 ms, or longer if the process is frozen meanwhile. The clock that a response to a poll reports is then taken for the one at the earlier time: after a pause of 1 s the deadline in the next start is 980 ms later than the lease allows, and the lease is taken for over that much before its end.

--- a/owner/calls_test.go
+++ b/owner/calls_test.go
@@ -25,8 +25,8 @@
 	return s
 }
 
-// handleEvent waits for the next event of the session and handles it. It fails the test if there is none.
-func handleEvent(t *testing.T, s *session, of string) {
+// awaitEvent waits for the next event of the session and handles it. It fails the test if there is none.
+func awaitEvent(t *testing.T, s *session, of string) {
 	t.Helper()
 	select {
 	case event := <-s.events:
@@ -55,7 +55,7 @@
 			s := newTestSession(&Owner{Options: Options{Upstreams: platform.NewUpstreamClient(), Log: func(string, ...any) {}}})
 			s.lease.extend(clock.Now() - time.Minute)
 			s.send(t.Context(), call)
-			handleEvent(t, s, name)
+			awaitEvent(t, s, name)
 		})
 	}
 }
@@ -81,3 +81,37 @@
 	s.core.SetTime(clock.Now()+time.Minute, clock.WallMS())
 	is.Equal(len(s.core.Decide()), 1) // a poll
 }
+
+// Guards against an upstream's clock that is taken for the one of an earlier time, so that its lease is taken for over while
+// it lasts: a session that was paused handles the responses that came meanwhile as if they had come before.
+func TestQueuedEventsHaveTheirOwnTime(t *testing.T) {
+	is := is.New(t)
+	const pause, clockMS, id = time.Second, 1_000_000, job.ID("00000000000000aa")
+	s := newTestSession(&Owner{Options: Options{Log: func(string, ...any) {}}})
+	now := clock.Now()
+	s.core.SetTime(now-pause, clock.WallMS())
+	entry := platform.Upstream{ID: "u-1", Pool: "p", Address: "127.0.0.1:1", StartedMS: 1, Capacity: job.Resources{MilliCPU: 4000}}
+	s.core.SetUpstream(entry)
+	s.core.RosterStored(s.core.TakeRosterChange())
+	poll, ok := s.core.Decide()[0].(schedule.Poll)
+	is.True(ok)
+	s.post(t.Context(), func(s *session) {
+		s.core.HandlePollResult(poll, platform.PollResult{StartedMS: 1, ClockMS: clockMS}, nil)
+	})
+	s.handleQueuedEvents()
+	s.core.SetTime(now, clock.WallMS())
+	queue := job.Queue{Name: "q", Pool: "p", MaxAttempts: 1, LatencyFactor: 2, TargetLatency: time.Second}
+	s.core.SetBundle(&platform.Bundle{Queues: []platform.BundleQueue{{Queue: queue}}, Teams: []platform.BundleTeam{{Name: "t", Weight: 1}}})
+	s.core.AddJob(&job.Job{
+		ID: id, Team: "t", Queue: queue, Steps: []job.Step{{Count: 1, Request: job.Resources{MilliCPU: 1000}, Estimate: time.Second}},
+	}, 1, false, nil, false)
+	s.core.Decide()
+	s.core.RecordsStored(s.core.TakeRecords().Number)
+	for _, call := range s.core.Decide() {
+		if start, ok := call.(schedule.Start); ok {
+			is.True(start.Command.DeadlineMS <= clockMS+upstreamLease.Milliseconds())
+			return
+		}
+	}
+	t.Fatal("the task is not started")
+}
