--- a/testbed/fleet/ledger_test.go
+++ b/testbed/fleet/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -155,3 +156,22 @@
 	}
 	t.Logf("%d of 60 cancels came before the submission", unknown)
 }
+
+// TestLongListWhileStoreRejectsCalls guards against a list of many pages that is never complete while the store rejects a
+// part of the calls, because it begins anew after each.
+func TestLongListWhileStoreRejectsCalls(t *testing.T) {
+	is := is.New(t)
+	store, kv, _ := newLedger(t)
+	const items = 10_000 // 20 pages
+	for i := range items {
+		store.Put(fmt.Sprintf("x/%05d", i), nil)
+	}
+	store.SetFaults(fleet.StoreFaults{RejectedShare: 0.3})
+	var listed []platform.Item
+	waitUntil(t, 5*time.Second, "list", func() bool {
+		var err error
+		listed, _, err = kv.ListAll(t.Context(), "x/", callTimeout)
+		return err == nil
+	})
+	is.Equal(len(listed), items)
+}
