testbed/fleet: failing test: clients' calls end the ownership

200 clients call the owner's host while the store takes 250 ms to answer. The renewals of the lease wait behind the clients' calls for one of the 24 connections to the store until they time out, so the ownership ends, and the next claim waits behind them as well.

--- a/testbed/fleet/owner_test.go
+++ b/testbed/fleet/owner_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -212,3 +213,31 @@
 	t.Logf("%d calls before, %d after", usual, after)
 	is.True(after < 2*usual)
 }
+
+// TestClientCallsDoNotEndTheOwnership guards against renewals of the owner's lease that wait behind clients' calls for a
+// connection to the store until they time out.
+func TestClientCallsDoNotEndTheOwnership(t *testing.T) {
+	is := is.New(t)
+	h := startFleetWithHost(t)
+	defer h.stop()
+	waitOwner(t, h.fleet, "edge-1", 3*time.Second)
+	kv := platform.NewKV(h.fleet.StoreAddress(), func(string, error) {})
+	claimedAt := func() uint64 {
+		item, err := kv.Get(t.Context(), ledger.OwnerKey, 2*time.Second)
+		is.NoErr(err)
+		return item.Revision
+	}
+	first := claimedAt()
+	h.fleet.Store.SetFaults(fleet.StoreFaults{Latency: 250 * time.Millisecond})
+	end := time.Now().Add(4 * time.Second)
+	var clients sync.WaitGroup
+	for i := range 200 {
+		clients.Go(func() {
+			for time.Now().Before(end) {
+				_, _ = h.call(http.MethodGet, jobID(i), "", teamKey)
+			}
+		})
+	}
+	clients.Wait()
+	is.Equal(claimedAt(), first)
+}
