owner: followers watch the owner's record from the revision of their read

Callers saw: calls to the store that grow with the number of hosts, also when all is calm, and count toward the limit that all hosts share, so that calls of the owner and of clients get 429.

Cause: a host that follows the owner watches the record from its own revision, that of the claim. Once the store has discarded the history since then, each watch is answered 410, and the host reads the record twice and watches again every 150 ms.

Now the watch begins at the store's revision at the read, as those of all other readers do.

TestFollowersWatchCompactedStore failed before: four followers made 266 calls in 3 s after the history was discarded, 32 before it.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -164,7 +164,7 @@
 
 // waitForOwnerChange returns when the owner's key changes or the watch on it fails.
 func (o *Owner) waitForOwnerChange(ctx context.Context) {
-	item, err := o.KV.Get(ctx, ledger.OwnerKey, callTimeout)
+	item, asOf, err := o.readOwnerItem(ctx)
 	if err != nil {
 		clock.Sleep(ctx, retryDelay)
 		return
@@ -174,7 +174,7 @@
 		o.Log("unreadable owner record", "revision", item.Revision, "error", err.Error())
 	}
 	o.ownerAddress.Store(&record.Address)
-	after := item.Revision
+	after := asOf
 	for item.Revision != 0 && ctx.Err() == nil {
 		events, asOf, err := o.KV.Watch(ctx, ledger.OwnerKey, after, ownerWatchWait)
 		if err != nil {
@@ -189,6 +189,18 @@
 	}
 }
 
+// readOwnerItem returns the owner's item, with revision 0 if there is none, and the revision from which to watch it. That is
+// not the item's own: the store may have discarded the history since then.
+func (o *Owner) readOwnerItem(ctx context.Context) (item platform.Item, asOf uint64, err error) {
+	page, err := o.KV.Range(ctx, ledger.OwnerKey, "", callTimeout)
+	for _, found := range page.Items {
+		if found.Key == ledger.OwnerKey {
+			item = found
+		}
+	}
+	return item, page.AsOf, err
+}
+
 // claim takes the ownership if it is free. It also returns the time just before it requested the lease, by the
 // monotonic clock.
 func (o *Owner) claim(ctx context.Context) (*ledger.Ownership, time.Duration, error) {
