owner, ledger: claims and reads of the state go on while the store rejects some calls

Callers saw: no task starts for 10 s and more, and the leases of running tasks lapse, while the store rejects a part of the calls (429: all hosts together make more than it allows, as after an outage).

Cause: a claim takes five calls and the read of the state six or more, one after another. Each call that was rejected ended the claim or the ownership, and everything began anew, which added to the calls.

Now each call that was rejected, so that it had no effect, is repeated after 60 ms: those of a claim until its lease has ended, those of the state for 4 s after the claim at most and while the lease is valid, so that another host gets its turn if this one can't read. Calls without a response end the claim or the load as before. The lease is renewed at once after the claim, which may have taken most of it.

--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"citrongauge.example/citrongauge/clock"
 	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 )
@@ -51,14 +52,12 @@
 // Claim takes the ownership for self's process if it is free. It replaces a record of the same host that has another
 // process or lease: that record belongs to an earlier process, which is dead, or to an earlier ownership of this
 // process, which has ended. A process must not call Claim while it holds an ownership.
+//
+// Calls that the store rejects are repeated until ctx ends, which should be no later than the lease: all hosts together may
+// make more calls than the store allows, and another claim would make all of them again.
 func (l *Ledger) Claim(ctx context.Context, self OwnerRecord, lease uint64, timeout time.Duration) (*Ownership, error) {
-	host, process := self.Host, self.Process
 	for range maxClaimAttempts {
-		owner, err := l.kv.Get(ctx, OwnerKey, timeout)
-		if err != nil {
-			return nil, err
-		}
-		chain, err := l.kv.Get(ctx, chainKey, timeout)
+		owner, chain, err := l.readClaim(ctx, timeout)
 		if err != nil {
 			return nil, err
 		}
@@ -66,23 +65,21 @@
 		if err != nil {
 			return nil, err
 		}
-		if owner.Revision != 0 && previous.Process == process && owner.Lease == lease {
-			return l.recoverClaim(previous, owner, chain, process)
+		if owner.Revision != 0 && previous.Process == self.Process && owner.Lease == lease {
+			return l.recoverClaim(previous, owner, chain, self.Process)
 		}
-		if owner.Revision != 0 && previous.Host != host {
+		if owner.Revision != 0 && previous.Host != self.Host {
 			return nil, ErrOwnedByOther
 		}
-		generation, err := nextGeneration(chain)
-		if err != nil {
+		if self.Generation, err = nextGeneration(chain); err != nil {
 			return nil, err
 		}
-		self.Generation = generation
 		revision, err := l.writeClaim(ctx, self, owner.Revision, chain.Revision, lease, timeout)
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
 			return &Ownership{
-				ledger: l, Generation: generation, Token: revision, Lease: lease, process: process, chainRevision: revision,
+				ledger: l, Generation: self.Generation, Token: revision, Lease: lease, process: self.Process, chainRevision: revision,
 			}, nil
 		case errors.As(err, &conflict), errors.Is(err, platform.ErrOutcomeUnknown):
 			continue // the next read shows whether this claim succeeded
@@ -93,6 +90,35 @@
 	return nil, errors.Wrap(platform.ErrOutcomeUnknown, "claim")
 }
 
+// readClaim reads the owner's record and cg/chain.
+func (l *Ledger) readClaim(ctx context.Context, timeout time.Duration) (owner, chain platform.Item, err error) {
+	read := func(key string) (item platform.Item, err error) {
+		err = RepeatRejected(ctx, func() error {
+			item, err = l.kv.Get(ctx, key, timeout)
+			return err
+		})
+		return item, err
+	}
+	if owner, err = read(OwnerKey); err == nil {
+		chain, err = read(chainKey)
+	}
+	return owner, chain, err
+}
+
+// RepeatRejected repeats a call that the store rejects until ctx ends.
+func RepeatRejected(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		if !errors.Is(err, platform.ErrNotExecuted) {
+			return err
+		}
+		clock.Sleep(ctx, retryDelay)
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
 // recoverClaim returns the ownership of an earlier claim that succeeded although its response was lost.
 func (l *Ledger) recoverClaim(record OwnerRecord, owner, chain platform.Item, process string) (*Ownership, error) {
 	if chain.Revision != owner.Revision {
@@ -114,14 +140,20 @@
 	if err != nil {
 		return 0, err
 	}
-	return l.kv.Txn(ctx, platform.Txn{
+	txn := platform.Txn{
 		If: []platform.Condition{
 			{Key: OwnerKey, Revision: ownerRevision}, {Key: chainKey, Revision: chainRevision},
 		},
 		Set: []platform.Write{
 			{Key: OwnerKey, Value: ownerValue, Lease: lease}, {Key: chainKey, Value: chainValue},
 		},
-	}, timeout)
+	}
+	var revision uint64
+	err = RepeatRejected(ctx, func() error {
+		revision, err = l.kv.Txn(ctx, txn, timeout)
+		return err
+	})
+	return revision, err
 }
 
 // nextGeneration returns the generation that follows the one in the cg/chain item.
--- a/owner/load.go
+++ b/owner/load.go
@@ -14,28 +14,38 @@
 	"citrongauge.example/citrongauge/schedule"
 )
 
+const (
+	rejectedDelay = 60 * time.Millisecond // pause before a read of the state that the store has rejected is repeated
+	// maxLoadTime is how long after the claim such reads are repeated. Another host may be able to read the state then.
+	maxLoadTime = 4 * time.Second
+)
+
 // load reads the stored state of the fleet (waves, roster, commanded machines, upstreams and jobs) and starts the
-// watches on upstreams and jobs.
+// watches on upstreams and jobs. Each read is repeated while the store rejects it.
 func (s *session) load(ctx context.Context) error {
 	s.core.SetTime(clock.Now(), clock.WallMS())
-	if err := s.readWaves(ctx); err != nil {
-		return err
-	}
-	s.applyOperatorState(s.Operator.State())
-	roster, err := s.readRoster(ctx)
-	if err != nil {
-		return err
-	}
-	if err := s.readCommandedMachines(ctx); err != nil {
-		return err
-	}
-	upstreamsRevision, err := s.readPrefix(ctx, platform.UpstreamPrefix, s.setUpstreams)
-	if err != nil {
-		return err
-	}
-	jobsRevision, err := s.readPrefix(ctx, ledger.JobPrefix, s.addJobs)
-	if err != nil {
-		return err
+	var roster int
+	var upstreamsRevision, jobsRevision uint64
+	for _, read := range []func() error{
+		func() error { return s.readWaves(ctx) },
+		func() (err error) {
+			s.applyOperatorState(s.Operator.State())
+			roster, err = s.readRoster(ctx)
+			return err
+		},
+		func() error { return s.readCommandedMachines(ctx) },
+		func() (err error) {
+			upstreamsRevision, err = s.readPrefix(ctx, platform.UpstreamPrefix, s.setUpstreams)
+			return err
+		},
+		func() (err error) {
+			jobsRevision, err = s.readPrefix(ctx, ledger.JobPrefix, s.addJobs)
+			return err
+		},
+	} {
+		if err := s.repeatRejected(ctx, read); err != nil {
+			return err
+		}
 	}
 	s.current.Store(s)
 	s.Log("state loaded", "jobs", s.core.JobCount(), "roster", roster, "token", s.ownership.Token)
@@ -44,6 +54,18 @@
 	return nil
 }
 
+// repeatRejected repeats a read that the store rejects, while the lease is valid and for maxLoadTime after the claim: all
+// hosts together may make more calls than the store allows, and another claim would make all of them again.
+func (s *session) repeatRejected(ctx context.Context, read func() error) error {
+	for {
+		err := read()
+		if !errors.Is(err, platform.ErrNotExecuted) || !s.lease.valid() || clock.Now() > s.claimedAt+maxLoadTime {
+			return err
+		}
+		clock.Sleep(ctx, rejectedDelay)
+	}
+}
+
 // readRoster reads the upstreams on which an earlier owner's tasks may run, and returns their number. A roster that an
 // earlier version stored in one record is stored again in this version's form.
 func (s *session) readRoster(ctx context.Context) (int, error) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -217,12 +217,13 @@
 		return nil, 0, ledger.ErrOwnedByOther
 	}
 	o.delayClaim(ctx)
-	leaseRequested := clock.Now()
-	lease, _, err := o.KV.GrantLease(ctx, o.leaseDuration(), callTimeout)
+	lease, leaseRequested, err := o.grantLease(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
-	ownership, err := o.Ledger.Claim(ctx, ledger.OwnerRecord{
+	claimCtx, cancel := context.WithTimeout(ctx, o.leaseDuration())
+	defer cancel()
+	ownership, err := o.Ledger.Claim(claimCtx, ledger.OwnerRecord{
 		Host: o.Host, Process: o.Process, Address: o.Address, Fitness: o.fitness,
 	}, lease, callTimeout)
 	if err != nil {
@@ -234,6 +235,18 @@
 	return ownership, leaseRequested, nil
 }
 
+// grantLease requests a lease. It also returns the time just before the request, by the monotonic clock.
+func (o *Owner) grantLease(ctx context.Context) (lease uint64, requested time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = ledger.RepeatRejected(ctx, func() error {
+		requested = clock.Now()
+		lease, _, err = o.KV.GrantLease(ctx, o.leaseDuration(), callTimeout)
+		return err
+	})
+	return lease, requested, err
+}
+
 func (o *Owner) leaseDuration() time.Duration { return max(leaseTTL, o.Settings.Store.MinLease) }
 
 // runOwnership runs the fleet until the ownership ends. It returns the session's failure, or nil if the session was
@@ -311,11 +324,11 @@
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	for {
+		go k.renew(ctx, end) // also at once: the claim may have taken most of the lease
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			go k.renew(ctx, end)
 		}
 	}
 }
