owner: each queued event is handled with its own time

Cause of what TestQueuedEventsHaveTheirOwnTime shows: the core's time was set before the first queued event only. A session that pauses between the decision and the other events (25 ms by itself, longer if the process is frozen or throttled) took the clocks in the responses for those of the earlier time. Deadlines were later than the lease allows, and the end of a lease was expected too early by the same time: beyond the slack of 200 ms a task could be started elsewhere while it still ran (TWICE).

Now the time is set for each event.

--- a/owner/session.go
+++ b/owner/session.go
@@ -116,8 +116,7 @@
 		case <-ctx.Done():
 			return
 		case event := <-s.events:
-			s.core.SetTime(clock.Now(), clock.WallMS())
-			event(s)
+			s.handleEvent(event)
 			pauseAfterDecision(ctx, took)
 			s.handleQueuedEvents()
 		case <-ticker.C:
@@ -142,13 +141,20 @@
 	for {
 		select {
 		case event := <-s.events:
-			event(s)
+			s.handleEvent(event)
 		default:
 			return
 		}
 	}
 }
 
+// handleEvent handles an event with the time of its handling. An earlier time would make an upstream's clock, which a
+// response reports, appear to be ahead: its lease would be taken for over before its end.
+func (s *session) handleEvent(event func(*session)) {
+	s.core.SetTime(clock.Now(), clock.WallMS())
+	event(s)
+}
+
 // decideAndSend runs one decision, sends the resulting calls and starts due writes. It returns false when the ownership
 // is over.
 func (s *session) decideAndSend(ctx context.Context) bool {
