entry: the owner has connections to the store of its own

Callers saw: the owner loses its lease, and no host becomes the next one for as long as clients press, if the store is slow.

Cause: clients' calls and the owner's share 24 connections to the store, so that renewals of the lease, and the calls of a claim, wait behind clients' calls until they time out.

The cost is up to 24 more connections from a host to the store.

--- a/entry/host.go
+++ b/entry/host.go
@@ -59,11 +59,14 @@
 	process := newProcessID()
 	h.internalAddress = net.JoinHostPort(settings.Listen.IP, strconv.Itoa(settings.Listen.InternalPort))
 	event := h.logEvent
-	kv := platform.NewKV(settings.Store.Address, h.metrics.observePlatformCall)
+	newKV := func() *platform.KV { return platform.NewKV(settings.Store.Address, h.metrics.observePlatformCall) }
+	kv := newKV()
+	ownerKV := newKV() // its calls, such as renewals of the lease, must not wait behind clients' calls for a connection
 	records := ledger.New(kv)
 	h.operator = operator.New(kv, event)
 	options := owner.Options{
-		Host: settings.Host, Process: process, Address: h.internalAddress, Settings: settings, KV: kv, Ledger: records, Operator: h.operator,
+		Host: settings.Host, Process: process, Address: h.internalAddress, Settings: settings,
+		KV: ownerKV, Ledger: ledger.New(ownerKV), Operator: h.operator,
 		Upstreams: platform.NewUpstreamClient(), Observe: h.metrics, Log: event,
 		SendToOwner: func(message announce.Message) { h.sender.Send(message) },
 	}
