--- a/schedule/calls_test.go
+++ b/schedule/calls_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"citrongauge.example/citrongauge/job"
@@ -137,3 +138,46 @@
 	h.runAndCollectMoves(time.Second, nil)
 	is.Equal(h.core.Stats().Starts, 0)
 }
+
+// Guards against a call that the core takes for one in flight, or for carried out, although it was not sent.
+func TestCallsThatAreNotSentAreMadeAgain(t *testing.T) {
+	notSent := errors.Wrap(platform.ErrNotExecuted, "the lease may have expired")
+	is := is.New(t)
+	h := newWaveHarness(t)
+	h.addUpstream("u-2")
+	h.fenceAll(platform.PollResult{})
+	running := map[string][]platform.CurrentRun{}
+	again := func(what string, made func(calls) bool) calls {
+		for range 50 {
+			h.advance(50 * time.Millisecond)
+			c := h.decide()
+			if made(c) {
+				return c
+			}
+			h.answerAll(c, running)
+		}
+		t.Fatalf("%s is not made again", what)
+		return calls{}
+	}
+	upkeep := h.awaitUpkeepCommand().upkeeps[0]
+	h.core.HandleNotSent(upkeep, notSent)
+	repeated := again("upkeep", func(c calls) bool { return len(c.upkeeps) == 1 })
+	is.Equal(repeated.upkeeps[0].Machine, upkeep.Machine)
+	is.True(repeated.upkeeps[0].Number > upkeep.Number) // a late copy cannot follow it
+
+	id := h.addLastingJob(1)
+	c := again("start", func(c calls) bool { return len(c.starts) == 1 })
+	h.core.HandleNotSent(c.starts[0], notSent)
+	h.answerAll(calls{polls: c.polls}, nil)
+	c = again("start", func(c calls) bool { return len(c.starts) == 1 })
+	h.acceptStarts(c.starts)
+	start := c.starts[0]
+	running[start.Target.ID] = []platform.CurrentRun{{Task: start.Command.Task, Attempt: start.Command.Attempt, Percent: 100}}
+	is.Equal(len(c.polls), 1)
+	h.core.HandleNotSent(c.polls[0], notSent)
+	h.answerAll(again("poll", func(c calls) bool { return len(c.polls) == 1 }), running)
+	h.core.Cancel(id)
+	c = again("stop", func(c calls) bool { return len(c.stops) == 1 })
+	h.core.HandleNotSent(c.stops[0], notSent)
+	again("stop", func(c calls) bool { return len(c.stops) == 1 })
+}
