--- a/owner/owner.go
+++ b/owner/owner.go
@@ -182,7 +182,7 @@
 
 // waitForOwnerChange returns when the owner's key changes or the watch on it fails.
 func (o *Owner) waitForOwnerChange(ctx context.Context) {
-	item, err := o.KV.Get(ctx, ledger.OwnerKey, callTimeout)
+	item, asOf, err := o.readOwnerItem(ctx)
 	if err != nil {
 		clock.Sleep(ctx, retryDelay)
 		return
@@ -192,7 +192,7 @@
 		o.Log("unreadable owner record", "revision", item.Revision, "error", err.Error())
 	}
 	o.ownerAddress.Store(&record.Address)
-	after := item.Revision
+	after := asOf
 	for item.Revision != 0 && ctx.Err() == nil {
 		events, asOf, err := o.KV.Watch(ctx, ledger.OwnerKey, after, ownerWatchWait)
 		if err != nil {
@@ -207,6 +207,18 @@
 	}
 }
 
+// readOwnerItem returns the owner's item, with revision 0 if there is none, and the revision from which to watch it. That is
+// not the item's own: the store may have discarded the history since then.
+func (o *Owner) readOwnerItem(ctx context.Context) (item platform.Item, asOf uint64, err error) {
+	page, err := o.KV.Range(ctx, ledger.OwnerKey, "", callTimeout)
+	for _, found := range page.Items {
+		if found.Key == ledger.OwnerKey {
+			item = found
+		}
+	}
+	return item, page.AsOf, err
+}
+
 // claim takes the ownership if it is free. It also returns the time just before it requested the lease, by the
 // monotonic clock.
 func (o *Owner) claim(ctx context.Context) (*ledger.Ownership, time.Duration, error) {
@@ -223,12 +235,13 @@
 		return nil, 0, ledger.ErrOwnedByOther
 	}
 	o.delayClaim(ctx)
-	leaseRequested := clock.Now()
-	lease, _, err := o.KV.GrantLease(ctx, o.leaseDuration(), callTimeout)
+	lease, leaseRequested, err := o.grantLease(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
-	ownership, err := o.Ledger.Claim(ctx, ledger.OwnerRecord{
+	claimCtx, cancel := context.WithTimeout(ctx, o.leaseDuration())
+	defer cancel()
+	ownership, err := o.Ledger.Claim(claimCtx, ledger.OwnerRecord{
 		Host: o.Host, Process: o.Process, Address: o.Address, Fitness: o.fitness,
 	}, lease, callTimeout)
 	if err != nil {
@@ -240,6 +253,18 @@
 	return ownership, leaseRequested, nil
 }
 
+// grantLease requests a lease. It also returns the time just before the request, by the monotonic clock.
+func (o *Owner) grantLease(ctx context.Context) (lease uint64, requested time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = ledger.RepeatRejected(ctx, func() error {
+		requested = clock.Now()
+		lease, _, err = o.KV.GrantLease(ctx, o.leaseDuration(), callTimeout)
+		return err
+	})
+	return lease, requested, err
+}
+
 func (o *Owner) leaseDuration() time.Duration { return max(leaseTTL, o.Settings.Store.MinLease) }
 
 // runOwnership runs the fleet until the ownership ends. It returns the session's failure, or nil if the session was
@@ -318,11 +343,11 @@
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	for {
+		go k.renew(ctx, end) // also at once: the claim may have taken most of the lease
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			go k.renew(ctx, end)
 		}
 	}
 }
--- a/owner/session.go
+++ b/owner/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -116,8 +117,7 @@
 		case <-ctx.Done():
 			return
 		case event := <-s.events:
-			s.core.SetTime(clock.Now(), clock.WallMS())
-			event(s)
+			s.handleEvent(event)
 			pauseAfterDecision(ctx, took)
 			s.handleQueuedEvents()
 		case <-ticker.C:
@@ -142,13 +142,20 @@
 	for {
 		select {
 		case event := <-s.events:
-			event(s)
+			s.handleEvent(event)
 		default:
 			return
 		}
 	}
 }
 
+// handleEvent handles an event with the time of its handling. An earlier time would make an upstream's clock, which a
+// response reports, appear to be ahead: its lease would be taken for over before its end.
+func (s *session) handleEvent(event func(*session)) {
+	s.core.SetTime(clock.Now(), clock.WallMS())
+	event(s)
+}
+
 // decideAndSend runs one decision, sends the resulting calls and starts due writes. It returns false when the ownership
 // is over.
 func (s *session) decideAndSend(ctx context.Context) bool {
@@ -213,11 +220,16 @@
 	s.core.SetEvacuated(state.Evacuated)
 }
 
+// errLeaseUncertain is the result of a call that was not sent because the lease may have expired.
+var errLeaseUncertain = errors.Wrap(platform.ErrNotExecuted, "the lease may have expired")
+
 // send makes a call for the core in a new goroutine and posts its result to the event loop. The process may have been
-// paused since the decision, so a call whose lease has expired meanwhile is dropped.
+// paused since the decision, so a call whose lease may have expired meanwhile is not sent. The core learns of that as well:
+// the response to a renewal may come a moment later, and then the ownership goes on.
 func (s *session) send(ctx context.Context, call schedule.Call) {
 	go func() {
 		if !s.lease.valid() {
+			s.post(ctx, func(s *session) { s.handleNotSent(call) })
 			return
 		}
 		if event := s.execute(ctx, call); event != nil {
@@ -226,6 +238,11 @@
 	}()
 }
 
+func (s *session) handleNotSent(call schedule.Call) {
+	s.Log("call not sent: the lease may have expired", "call", fmt.Sprintf("%T", call), "left_ms", s.lease.remaining().Milliseconds())
+	s.core.HandleNotSent(call, errLeaseUncertain)
+}
+
 func (s *session) execute(ctx context.Context, call schedule.Call) func(*session) {
 	switch call := call.(type) {
 	case schedule.Start:
