--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -34,7 +34,8 @@
 	faultsEnded    bool
 	lateCall       bool // the call being executed was delayed by its upstream
 	starts         int
-	maxEnds        int // number of ends that an upstream lists at a time
+	maxEnds        int             // number of ends that an upstream lists at a time
+	services       *serviceHistory // nil: faults are drawn for each call, and are known to the owner at once
 }
 
 // storedJob is the state of a job in the store.
@@ -46,6 +47,7 @@
 	cancelledAt time.Duration
 	deadly      bool // its first task crashes each upstream that starts it
 	bad         bool // all its runs fail
+	flaky       bool // half of the runs of its long-running tasks fail
 }
 
 // crashes reports whether the task crashes each upstream that starts it.
@@ -66,6 +68,8 @@
 	at              time.Duration // when it is executed
 	targetStartedMS int64         // start time of its upstream, for a delayed call that a restart drops; 0: any
 	responseLost    bool
+	told            bool            // its owner learns elsewhere that it got no answer
+	waits           bool            // a poll that its upstream has received and holds back
 	complete        func(*simOwner) // carries out a write to the store; nil: the call is one to an upstream
 }
 
@@ -139,7 +143,7 @@
 		o.core.InheritUpstream(entry)
 	}
 	for _, u := range sim.upstreams {
-		if !u.dead {
+		if !u.dead && !u.unlisted {
 			o.core.SetUpstream(u.entry())
 		}
 	}
@@ -151,6 +155,9 @@
 
 // log prints the owners' decisions with -v -rapid.v.
 func (sim *simulation) log(event string, fields ...any) {
+	if sim.services != nil && (event == "task given up" || event == "job ended") {
+		sim.services.noteGivenUp(event, fields)
+	}
 	if testing.Verbose() {
 		sim.t.Logf("%v %s %v", sim.now-time.Hour, event, fields)
 	}
@@ -189,7 +196,7 @@
 			continue // connections are not simulated
 		}
 		pending := &pendingCall{owner: o, call: call, at: sim.now + sim.delay("way", 30)}
-		if !sim.faultsEnded {
+		if !sim.faultsEnded && (sim.services == nil || sim.services.lossy > 0) {
 			switch rapid.IntRange(0, 29).Draw(sim.t, "fate") {
 			case 0:
 				pending.responseLost = true
@@ -197,6 +204,7 @@
 				pending.responseLost = true
 				pending.at += sim.delay("late", 12_000)
 				pending.targetStartedMS = sim.upstream(targetOf(call)).startedMS
+				sim.tellLater(pending)
 			}
 		}
 		sim.calls = append(sim.calls, pending)
@@ -258,6 +266,9 @@
 		}
 		sim.executeDueCalls()
 		sim.decide()
+		if sim.services != nil {
+			sim.services.tick(sim)
+		}
 	}
 }
 
@@ -265,7 +276,7 @@
 	due := sim.calls
 	sim.calls = nil
 	for _, pending := range due {
-		if pending.at > sim.now {
+		if pending.at > sim.now && !(pending.waits && len(sim.upstream(targetOf(pending.call)).ends) > 0) {
 			sim.calls = append(sim.calls, pending)
 			continue
 		}
@@ -282,14 +293,24 @@
 	if start, ok := pending.call.(schedule.Start); ok {
 		sim.historyOf(start.Command.Task).calledTo = u.id
 	}
-	deliver := handleLostResponse(pending.call)
+	deliver, answered := handleLostResponse(pending.call), false
 	if !u.unreachable && !u.dead && (pending.targetStartedMS == 0 || pending.targetStartedMS == u.startedMS) {
-		sim.lateCall = pending.targetStartedMS != 0
+		sim.lateCall = pending.targetStartedMS != 0 && !pending.waits
+		if sim.lateCall && sim.services != nil {
+			sim.services.disturbedAt = sim.now
+		}
 		deliverResponse := sim.execute(pending)
 		if !pending.responseLost {
-			deliver = deliverResponse
+			if sim.holdBack(pending, u) {
+				return
+			}
+			deliver, answered = deliverResponse, true
 		}
 	}
+	if sim.services != nil && !answered {
+		sim.tellLater(pending)
+		return
+	}
 	if pending.owner == sim.owner && !pending.owner.dead {
 		pending.owner.core.SetTime(sim.now, sim.now.Milliseconds())
 		deliver(pending.owner)
--- a/schedule/simupstream_test.go
+++ b/schedule/simupstream_test.go
@@ -28,12 +28,15 @@
 	dead          bool
 	returnsAt     time.Duration // when it starts again after a task has crashed it; 0: not
 	failsAll      bool          // every run fails
+	unlisted      bool          // it has no entry in the store
+	labels        []string      // nil: the usual ones
 }
 
 type simRun struct {
 	attempt  uint64
 	until    time.Duration
 	fails    bool
+	breaks   bool // a long-running task that fails
 	reserved job.Resources
 	step     *job.Step
 }
@@ -72,9 +75,13 @@
 }
 
 func (u *simUpstream) entry() platform.Upstream {
+	labels := u.labels
+	if labels == nil {
+		labels = []string{"k", "r"}
+	}
 	return platform.Upstream{
 		ID: u.id, Pool: testPool, Address: u.id + ":1", Zone: "a", StartedMS: u.startedMS, Machine: "m-" + u.id,
-		Capacity: job.Resources{MilliCPU: simUpstreamCPU}, Labels: []string{"k", "r"},
+		Capacity: job.Resources{MilliCPU: simUpstreamCPU}, Labels: labels,
 	}
 }
 
@@ -105,9 +112,9 @@
 		return
 	}
 	for _, id := range sortedTasks(u.running) {
-		if r := u.running[id]; sim.now >= r.until && !r.step.LongRunning {
+		if r := u.running[id]; sim.now >= r.until && (!r.step.LongRunning || r.breaks) {
 			kind := platform.EndDone
-			if r.fails {
+			if r.fails || r.breaks {
 				kind = platform.EndFailed
 			}
 			u.end(sim, id, kind)
@@ -173,6 +180,7 @@
 		attempt: command.Attempt, until: sim.now + duration, reserved: step.ReservedResources(), step: step,
 		fails: s.bad || !s.crashes(command.Task) && !sim.faultsEnded && (u.failsAll || rapid.IntRange(0, 19).Draw(sim.t, "fails") == 0),
 	}
+	u.running[command.Task].breaks = s.flaky && !sim.faultsEnded && rapid.Bool().Draw(sim.t, "breaks")
 	if s.crashes(command.Task) {
 		u.crash(sim)
 		u.returnsAt = sim.now + simReturnTime
