--- a/schedule/lasting_test.go
+++ b/schedule/lasting_test.go
@@ -283,3 +283,72 @@
 	}, uint64(100+number), false, nil, false)
 	return id
 }
+
+// Guards against a long-running task that waits for its data's rack, which is full, for as long as a task of its step is
+// expected to run.
+func TestLongRunningTaskDoesNotWaitForItsRack(t *testing.T) {
+	is := is.New(t)
+	far := upstreamEntry("u-2", 16000)
+	far.Labels = []string{"k", "r2"}
+	f := newFleet(t, upstreamEntry("u-1", 16000), far)
+	full := lasting(1, 16000)
+	full.Label = "r1"
+	f.addJob(1, full)
+	f.live(time.Second)
+	step := lasting(1, 1000)
+	step.Rack, step.Estimate = "r1", time.Minute
+	id := f.addJob(2, step)
+	f.live(mostWait)
+	is.Equal(f.runsOf(id), 1)
+}
+
+// Guards against an upstream that was released for another pool and stays closed because its own pool lacks machines:
+// long-running tasks, for which it has room, waited until all pools had enough.
+func TestReleasedUpstreamIsOpenedForItsOwnPool(t *testing.T) {
+	is := is.New(t)
+	other := upstreamEntry("o-1", 16000)
+	other.Pool = "other"
+	f := newFleet(t, append(entries("u-1", "u-2", "u-3"), other)...)
+	otherQueue := testJobQueue()
+	otherQueue.Name, otherQueue.Pool = "others", "other"
+	f.core.SetBundle(&platform.Bundle{
+		Version: 2, Revision: 2, Queues: []platform.BundleQueue{{Queue: testJobQueue()}, {Queue: otherQueue}},
+		Pools: []platform.BundlePool{{Name: testPool}, {Name: "other"}}, Teams: []platform.BundleTeam{{Name: testTeam, Weight: 1}},
+	})
+	f.addJob(1, lasting(1, 16000))
+	f.live(200 * time.Millisecond)
+	slow := job.Step{Count: 2, Request: job.Resources{MilliCPU: 9000}, Estimate: time.Minute}
+	f.addJob(2, slow) // one task on each of the other two
+	f.live(200 * time.Millisecond)
+	f.core.SetMachines([]platform.Machine{
+		{Name: "m-u-1", Pool: testPool, Phase: platform.MachineUp, Upstream: "u-1"},
+		{Name: "m-u-2", Pool: testPool, Phase: platform.MachineUp, Upstream: "u-2"},
+		{Name: "m-u-3", Pool: testPool, Phase: platform.MachineUp, Upstream: "u-3"},
+		{Name: "m-o-1", Pool: "other", Phase: platform.MachineUp, Upstream: "o-1"},
+	})
+	f.core.AddJob(&job.Job{
+		ID: "00000000000000ee", Team: testTeam, Queue: otherQueue, Spec: "s", AcceptedMS: f.now.Milliseconds(),
+		Steps: []job.Step{{Count: 20, Request: job.Resources{MilliCPU: 4000}, Estimate: time.Minute}},
+	}, 150, false, nil, false)
+	f.live(time.Second)
+	id := f.addJob(3, lasting(3, 3500))
+	f.live(mostWait)
+	is.Equal(f.runsOf(id), 3)
+}
+
+// Guards against an owner that stores a cancelled job without the places of its tasks, while these may still run on an
+// upstream that it has not reached: the next owner did not count them against the team's cap (QUOTA).
+func TestCancelledJobKeepsPlacesOfUnseenRuns(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.core.InheritUpstream(upstreamEntry("u-1", 16000))
+	progress := job.Progress{Phase: job.Active, Parts: []job.PartProgress{{}}}
+	progress.Parts[0].RecordPlacement(0, "u-1")
+	h.core.AddJob(&job.Job{
+		ID: "0000000000000001", Team: testTeam, Queue: testJobQueue(), Spec: "s", Steps: []job.Step{lasting(1, 1000)},
+	}, 1, true, &progress, true)
+	h.core.Decide()
+	records := h.core.TakeRecords().Jobs
+	is.Equal(len(records), 1)
+	is.Equal(len(records[0].Progress.Parts), 1)
+}
