schedule: long-running tasks are restarted however many upstreams they lose

Callers saw a long-running task that was never started again after three or four upstreams had been lost within 200 ms of its starts ("task given up"; its job failed if it had one task), and one that waited for an upstream of its own for as long as the pool was busy.

Cause: the limit on tasks that crash their upstreams was applied to long-running tasks as well, and so was the wait for an upstream without other new runs.

A long-running task is not given up any more. From its second loss on it waits for an upstream without other runs, so that a task that does crash its upstreams takes few others with it, but for 2 s at most. TestServiceGoesOnWithoutTaskThatCrashesItsUpstreams still holds, and now also requires that the task itself is started again.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -9,7 +9,8 @@
 
 // A task may crash each upstream that starts it, which ends all other runs there. The tasks whose runs were in probation
 // at a crash are suspects. A suspect is started apart from other runs in probation, so that the next crash shows which
-// task is at fault. A run that outlives its probation clears its task.
+// task is at fault. A run that outlives its probation clears its task. Long-running tasks are restarted however they end:
+// they are never given up, and wait for an upstream of their own for a short time only.
 
 const (
 	// probation is how long an upstream has to work on after a run has begun until a later crash is not put down to the
@@ -43,7 +44,7 @@
 	}
 }
 
-// isGivenUp reports whether the task has lost so many upstreams that it is not started again.
+// isGivenUp reports whether the task has lost so many upstreams that it is not started again, unless it is long-running.
 func (t *task) isGivenUp() bool {
 	s := t.suspicion
 	return s.losses >= lossesToGiveUp && s.alone >= aloneToGiveUp || s.seen >= maxLosses
@@ -166,19 +167,21 @@
 	c.markDirty(p.job)
 	c.Log("upstream lost under a task", "job", p.job.ID, "task", p.taskID(crash.Index).String(), "attempt", crash.Attempt,
 		"upstream", upstream, "unseen", crash.Unseen, "alone", crash.Alone, "losses", t.suspicion.losses)
-	if t.isGivenUp() {
-		c.giveUp(p, crash.Index)
+	switch {
+	case p.step.LongRunning:
+		t.apartUntil = c.now + t.suspicion.apartTime()
+	case t.isGivenUp():
+		c.endJob(p.job, job.Failed, "a task crashed the upstreams that started it")
 	}
 }
 
-// giveUp ends the job of a task that crashes its upstreams. Other long-running tasks go on: a service is worth having
-// without one of them.
-func (c *Core) giveUp(p *part, index int) {
-	if p.step.LongRunning && slices.ContainsFunc(p.tasks, func(t task) bool { return !t.isGivenUp() }) {
-		c.Log("task given up", "job", p.job.ID, "task", p.taskID(index).String())
-		return
+// apartTime returns how long a long-running task waits at most for an upstream without other runs: longer with each loss,
+// so that a task that does crash its upstreams takes few other runs with it.
+func (s *suspicion) apartTime() time.Duration {
+	if s.losses < isolatedAfter {
+		return 0
 	}
-	c.endJob(p.job, job.Failed, "a task crashed the upstreams that started it")
+	return min(restartDelay<<min(s.losses, 5), maxRestartDelay)
 }
 
 // noteStarted records that a task starts again after a loss that was counted against it, and reports whether it has to
@@ -211,6 +214,9 @@
 	if best == nil {
 		return nil
 	}
+	if p.step.LongRunning {
+		return c.startLastingApart(p, t, best, held < max(1, len(usable)/2))
+	}
 	fits := p.step.ReservedResources().Fits(best.freeCapacity())
 	canHold := best.hold.task == t || held < max(1, len(usable)/2)
 	apart := fits && canHold && best.inProbation() == 0
@@ -224,6 +230,21 @@
 	return nil
 }
 
+// startLastingApart returns the upstream for a long-running suspect if it has room, and holds it if it may. The task waits
+// only until apartUntil for an upstream without other runs.
+func (c *Core) startLastingApart(p *part, t *task, best *upstream, canHold bool) *upstream {
+	if !p.step.ReservedResources().Fits(best.freeCapacity()) {
+		return nil
+	}
+	if best.runs.len() > 0 && c.now < t.apartUntil {
+		return nil
+	}
+	if canHold {
+		best.hold = hold{t, c.now + maxHold}
+	}
+	return best
+}
+
 // leastInProbation returns the upstream on which a suspect would start beside the fewest runs in probation, and the number
 // of upstreams that are held for other tasks.
 func (c *Core) leastInProbation(p *part, t *task, usable []*upstream) (best *upstream, held int) {
--- a/schedule/crashes_test.go
+++ b/schedule/crashes_test.go
@@ -44,7 +44,8 @@
 	})
 }
 
-// Guards against a service that ends as a whole because one of its tasks crashes its upstreams.
+// Guards against a service that ends as a whole, or whose other tasks do not keep running, because one of its tasks crashes
+// its upstreams. That task is started again and again: a task that lasts has no limit of attempts.
 func TestServiceGoesOnWithoutTaskThatCrashesItsUpstreams(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, rapid.IntRange(2, 6).Draw(t, "upstreams"))
@@ -58,6 +59,9 @@
 		}
 		sim.endFaults()
 		sim.checkStillRunning(s, 1, 2)
+		if last := sim.historyOf(job.TaskID{Job: s.job.ID}).startedAt; sim.now > last+lastingGap {
+			sim.fail("LOST: the task that crashes its upstreams was started last %v ago", sim.now-last)
+		}
 		if sim.violation != "" {
 			t.Fatal(sim.violation)
 		}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -131,7 +131,7 @@
 }
 
 func (t *task) isWaiting(now time.Duration) bool {
-	return !t.done && len(t.runs) == 0 && now >= t.notBefore && !t.isGivenUp()
+	return !t.done && len(t.runs) == 0 && now >= t.notBefore
 }
 
 // timeliness returns the class of the part's occurrence, from its expected end.
