schedule: an upstream without room is not held without end

Callers saw tasks that did not start although an upstream had room for them: it was held for a task that had lost two upstreams and waited for room there. The hold was renewed with each decision, and the task kept to the upstream that it held, even if another one had room; if the runs there last, that is for ever.

Test: TestUpstreamIsNotHeldWithoutEnd.

Such a hold now ends after 3 s and is not renewed for another 3 s. The task takes any upstream with room that it may have, before the one that it holds. A long-running task that has waited for 0.7 s does not wait for holds at all.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -61,8 +61,11 @@
 
 func (u *upstream) isHeld(now time.Duration) bool { return u.hold.task != nil && now < u.hold.until }
 
-// isOpen reports whether the upstream is not held for another task.
-func (u *upstream) isOpen(t *task, now time.Duration) bool { return !u.isHeld(now) || u.hold.task == t }
+// isOpen reports whether the upstream is not held for another task. A long-running task that has waited for starvedAfter
+// does not wait for holds.
+func (u *upstream) isOpen(p *part, t *task, now time.Duration) bool {
+	return !u.isHeld(now) || u.hold.task == t || p.step.LongRunning && p.isStarving(t, now)
+}
 
 // endHold ends the upstream's hold if it is for the task.
 func (u *upstream) endHold(t *task) {
@@ -208,7 +211,8 @@
 
 // chooseApart returns an upstream without runs in probation for a suspect and holds it, so that nothing else starts
 // beside the suspect. At most half of the usable upstreams are held. If there is none, a task with a single loss starts
-// where the fewest runs are in probation; others wait for an upstream that is held for them.
+// where the fewest runs are in probation; others wait for an upstream that is held for them, for half of the time: its runs
+// may last.
 func (c *Core) chooseApart(p *part, t *task, usable []*upstream) *upstream {
 	best, held := c.leastInProbation(p, t, usable)
 	if best == nil {
@@ -219,13 +223,16 @@
 	}
 	fits := p.step.ReservedResources().Fits(best.freeCapacity())
 	canHold := best.hold.task == t || held < max(1, len(usable)/2)
-	apart := fits && canHold && best.inProbation() == 0
 	waits := t.suspicion.losses >= isolatedAfter
-	if apart || waits && canHold {
+	switch {
+	case fits && canHold && best.inProbation() == 0:
 		best.hold = hold{t, c.now + maxHold}
-	}
-	if apart || fits && !waits {
 		return best
+	case fits && !waits:
+		return best
+	case waits && canHold && c.now >= t.nextHold:
+		best.hold = hold{t, c.now + maxHold}
+		t.nextHold = c.now + 2*maxHold
 	}
 	return nil
 }
@@ -251,7 +258,7 @@
 	reserved := p.step.ReservedResources()
 	var bestKey [3]int
 	for _, up := range usable {
-		if !up.isOpen(t, c.now) {
+		if !up.isOpen(p, t, c.now) {
 			held++
 			continue
 		}
@@ -259,11 +266,13 @@
 			continue
 		}
 		key := [3]int{1, 0, up.runs.len()}
-		switch {
+		switch fits := reserved.Fits(up.freeCapacity()); {
+		case fits && up.hold.task == t:
+			key[0] = -2
+		case fits:
+			key[0], key[1] = -1, up.inProbation()
 		case up.hold.task == t:
-			key[0] = -1
-		case reserved.Fits(up.freeCapacity()):
-			key[0], key[1] = 0, up.inProbation()
+			key[0] = 0
 		}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = up, key
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -53,6 +53,7 @@
 	lastFailedOn string        // upstream of the last failed or overdue run
 	overdueStops int           // runs that were stopped because they took too long
 	suspicion    suspicion
+	nextHold     time.Duration // when an upstream without room may be held for the task next
 	apartUntil   time.Duration // until when a long-running suspect waits for an upstream without other runs
 	// placedOn is the upstream on which the task was started last or is about to be started. placedBatch is the batch
 	// of records that stores it.
--- a/schedule/losses_test.go
+++ b/schedule/losses_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
 )
 
 // lastingGap is the longest time from the end of a run of a long-running task to its next start by the users' rule LOST.
@@ -48,6 +50,34 @@
 	})
 }
 
+// Guards against an upstream with room that stays closed to all tasks but one, which waits for room there without end.
+func TestUpstreamIsNotHeldWithoutEnd(t *testing.T) {
+	for name, lasts := range map[string]bool{"long-running": true, "other": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.addUpstream("u-1")
+			h.fenceAll(platform.PollResult{})
+			h.addJob(1, job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, LongRunning: true})
+			h.acceptStarts(h.decide().starts)
+			suspect := job.Step{Count: 1, Request: job.Resources{MilliCPU: 16000}, Estimate: time.Second}
+			losses := []job.TaskCrash{{Attempt: 1}, {Attempt: 2}}
+			h.inheritJob("0000000000000002", suspect, job.Progress{Parts: []job.PartProgress{{Crashes: losses}}})
+			h.decide()
+			h.advance(time.Second)
+			waiting := h.addJob(3, job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, Estimate: time.Second, LongRunning: lasts})
+			var started []job.ID
+			for range 60 {
+				for _, start := range h.decide().starts {
+					started = append(started, start.Command.Task.Job)
+				}
+				h.advance(100 * time.Millisecond)
+			}
+			is.Equal(started, []job.ID{waiting}) // within 6 s
+		})
+	}
+}
+
 // newQuietSimulation returns a simulation with an owner, in which calls are neither lost nor late and teams have no cap.
 func newQuietSimulation(t *rapid.T, upstreams int) *simulation {
 	sim := newSimulation(t, upstreams)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -359,7 +359,7 @@
 		var best *upstream
 		for _, up := range usable {
 			n := assigned[up]
-			if !up.isOpen(nil, c.now) || !c.admits(p, up) || (p.step.MaxPerUpstream > 0 && p.perUpstream[up.ID]+int(n) >= p.step.MaxPerUpstream) {
+			if up.isHeld(c.now) || !c.admits(p, up) || (p.step.MaxPerUpstream > 0 && p.perUpstream[up.ID]+int(n) >= p.step.MaxPerUpstream) {
 				continue
 			}
 			next := job.Resources{MilliCPU: reserved.MilliCPU * (n + 1), MemoryMB: reserved.MemoryMB * (n + 1), GPU: reserved.GPU * (n + 1)}
@@ -393,7 +393,7 @@
 	var bestScore float64
 	waitForRack := p.step.Rack != "" && c.now-p.releasedAt < c.expectedDuration(p.job, p.step)
 	for _, up := range room {
-		if !reserved.Fits(up.freeCapacity()) || !up.isOpen(t, c.now) || !c.admits(p, up) {
+		if !reserved.Fits(up.freeCapacity()) || !up.isOpen(p, t, c.now) || !c.admits(p, up) {
 			continue
 		}
 		if p.step.MaxPerUpstream > 0 && p.perUpstream[up.ID] >= p.step.MaxPerUpstream {
--- a/schedule/shortages.go
+++ b/schedule/shortages.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
@@ -61,11 +62,16 @@
 			continue
 		}
 		waiting++
-		starved = starved || c.now > max(p.releasedAt, t.requeuedAt, t.notBefore)+starvedAfter
+		starved = starved || p.isStarving(t, c.now)
 	}
 	return waiting, starved
 }
 
+// isStarving reports whether a task that can be started has waited for longer than starvedAfter.
+func (p *part) isStarving(t *task, now time.Duration) bool {
+	return now > max(p.releasedAt, t.requeuedAt, t.notBefore)+starvedAfter
+}
+
 // freeCPUFor returns the free processors on the pool's matching upstreams.
 func (c *Core) freeCPUFor(p *pool, s *shortage) int64 {
 	var sum int64
