--- a/schedule/absent.go
+++ b/schedule/absent.go
@@ -115,7 +115,7 @@
 		return "held for its machine"
 	case up.health.isExcluded(c.now) || !up.health.allowsStart(c.now):
 		return "after failures"
-	case !up.isOpen(t, c.now):
+	case !up.isOpen(p, t, c.now):
 		return "held for another task"
 	case !c.admits(p, up) || p.step.MaxPerUpstream > 0 && p.perUpstream[up.ID] >= p.step.MaxPerUpstream:
 		return "not allowed"
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -9,7 +9,8 @@
 
 // A task may crash each upstream that starts it, which ends all other runs there. The tasks whose runs were in probation
 // at a crash are suspects. A suspect is started apart from other runs in probation, so that the next crash shows which
-// task is at fault. A run that outlives its probation clears its task.
+// task is at fault. A run that outlives its probation clears its task. Long-running tasks are restarted however they end:
+// they are never given up, and wait for an upstream of their own for a short time only.
 
 const (
 	// probation is how long an upstream has to work on after a run has begun until a later crash is not put down to the
@@ -43,7 +44,7 @@
 	}
 }
 
-// isGivenUp reports whether the task has lost so many upstreams that it is not started again.
+// isGivenUp reports whether the task has lost so many upstreams that it is not started again, unless it is long-running.
 func (t *task) isGivenUp() bool {
 	s := t.suspicion
 	return s.losses >= lossesToGiveUp && s.alone >= aloneToGiveUp || s.seen >= maxLosses
@@ -60,8 +61,11 @@
 
 func (u *upstream) isHeld(now time.Duration) bool { return u.hold.task != nil && now < u.hold.until }
 
-// isOpen reports whether the upstream is not held for another task.
-func (u *upstream) isOpen(t *task, now time.Duration) bool { return !u.isHeld(now) || u.hold.task == t }
+// isOpen reports whether the upstream is not held for another task. A long-running task that has waited for starvedAfter
+// does not wait for holds.
+func (u *upstream) isOpen(p *part, t *task, now time.Duration) bool {
+	return !u.isHeld(now) || u.hold.task == t || p.step.LongRunning && p.isStarving(t, now)
+}
 
 // endHold ends the upstream's hold if it is for the task.
 func (u *upstream) endHold(t *task) {
@@ -166,19 +170,21 @@
 	c.markDirty(p.job)
 	c.Log("upstream lost under a task", "job", p.job.ID, "task", p.taskID(crash.Index).String(), "attempt", crash.Attempt,
 		"upstream", upstream, "unseen", crash.Unseen, "alone", crash.Alone, "losses", t.suspicion.losses)
-	if t.isGivenUp() {
-		c.giveUp(p, crash.Index)
+	switch {
+	case p.step.LongRunning:
+		t.apartUntil = c.now + t.suspicion.apartTime()
+	case t.isGivenUp():
+		c.endJob(p.job, job.Failed, "a task crashed the upstreams that started it")
 	}
 }
 
-// giveUp ends the job of a task that crashes its upstreams. Other long-running tasks go on: a service is worth having
-// without one of them.
-func (c *Core) giveUp(p *part, index int) {
-	if p.step.LongRunning && slices.ContainsFunc(p.tasks, func(t task) bool { return !t.isGivenUp() }) {
-		c.Log("task given up", "job", p.job.ID, "task", p.taskID(index).String())
-		return
+// apartTime returns how long a long-running task waits at most for an upstream without other runs: longer with each loss,
+// so that a task that does crash its upstreams takes few other runs with it.
+func (s *suspicion) apartTime() time.Duration {
+	if s.losses < isolatedAfter {
+		return 0
 	}
-	c.endJob(p.job, job.Failed, "a task crashed the upstreams that started it")
+	return min(restartDelay<<min(s.losses, 5), maxRestartDelay)
 }
 
 // noteStarted records that a task starts again after a loss that was counted against it, and reports whether it has to
@@ -205,32 +211,54 @@
 
 // chooseApart returns an upstream without runs in probation for a suspect and holds it, so that nothing else starts
 // beside the suspect. At most half of the usable upstreams are held. If there is none, a task with a single loss starts
-// where the fewest runs are in probation; others wait for an upstream that is held for them.
+// where the fewest runs are in probation; others wait for an upstream that is held for them, for half of the time: its runs
+// may last.
 func (c *Core) chooseApart(p *part, t *task, usable []*upstream) *upstream {
 	best, held := c.leastInProbation(p, t, usable)
 	if best == nil {
 		return nil
 	}
+	if p.step.LongRunning {
+		return c.startLastingApart(p, t, best, held < max(1, len(usable)/2))
+	}
 	fits := p.step.ReservedResources().Fits(best.freeCapacity())
 	canHold := best.hold.task == t || held < max(1, len(usable)/2)
-	apart := fits && canHold && best.inProbation() == 0
 	waits := t.suspicion.losses >= isolatedAfter
-	if apart || waits && canHold {
+	switch {
+	case fits && canHold && best.inProbation() == 0:
 		best.hold = hold{t, c.now + maxHold}
-	}
-	if apart || fits && !waits {
 		return best
+	case fits && !waits:
+		return best
+	case waits && canHold && c.now >= t.nextHold:
+		best.hold = hold{t, c.now + maxHold}
+		t.nextHold = c.now + 2*maxHold
 	}
 	return nil
 }
 
+// startLastingApart returns the upstream for a long-running suspect if it has room, and holds it if it may. The task waits
+// only until apartUntil for an upstream without other runs.
+func (c *Core) startLastingApart(p *part, t *task, best *upstream, canHold bool) *upstream {
+	if !p.step.ReservedResources().Fits(best.freeCapacity()) {
+		return nil
+	}
+	if best.runs.len() > 0 && c.now < t.apartUntil {
+		return nil
+	}
+	if canHold {
+		best.hold = hold{t, c.now + maxHold}
+	}
+	return best
+}
+
 // leastInProbation returns the upstream on which a suspect would start beside the fewest runs in probation, and the number
 // of upstreams that are held for other tasks.
 func (c *Core) leastInProbation(p *part, t *task, usable []*upstream) (best *upstream, held int) {
 	reserved := p.step.ReservedResources()
 	var bestKey [3]int
 	for _, up := range usable {
-		if !up.isOpen(t, c.now) {
+		if !up.isOpen(p, t, c.now) {
 			held++
 			continue
 		}
@@ -238,11 +266,13 @@
 			continue
 		}
 		key := [3]int{1, 0, up.runs.len()}
-		switch {
+		switch fits := reserved.Fits(up.freeCapacity()); {
+		case fits && up.hold.task == t:
+			key[0] = -2
+		case fits:
+			key[0], key[1] = -1, up.inProbation()
 		case up.hold.task == t:
-			key[0] = -1
-		case reserved.Fits(up.freeCapacity()):
-			key[0], key[1] = 0, up.inProbation()
+			key[0] = 0
 		}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = up, key
--- /dev/null
+++ b/schedule/losses_test.go
@@ -0,0 +1,123 @@
+package schedule_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"citrongauge.example/citrongauge/job"
+	"citrongauge.example/citrongauge/platform"
+)
+
+// lastingGap is the longest time from the end of a run of a long-running task to its next start by the users' rule LOST.
+const lastingGap = 9 * time.Second
+
+// Guards against a long-running task that is given up, or waits, after four upstreams in a row were lost under it.
+func TestLongRunningTaskIsStartedAgainHoweverManyUpstreamsItLoses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newQuietSimulation(t, rapid.IntRange(1, 4).Draw(t, "upstreams"))
+		s := sim.submitSteps(job.Step{Count: rapid.IntRange(1, 3).Draw(t, "count"), Request: job.Resources{MilliCPU: 500}, LongRunning: true})
+		for range rapid.IntRange(4, 7).Draw(t, "losses") {
+			sim.loseUpstreamOf(s, sim.restartLater)
+		}
+		sim.waitForStart(s, lastingGap)
+		if sim.violation != "" {
+			t.Fatal(sim.violation)
+		}
+	})
+}
+
+// Guards against a long-running task that is given up after losses that each new owner finds.
+func TestLongRunningTaskIsStartedAgainAfterLossesBetweenOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newQuietSimulation(t, rapid.IntRange(1, 4).Draw(t, "upstreams"))
+		s := sim.submitSteps(job.Step{Count: rapid.IntRange(1, 3).Draw(t, "count"), Request: job.Resources{MilliCPU: 500}, LongRunning: true})
+		for range rapid.IntRange(4, 7).Draw(t, "losses") {
+			sim.loseUpstreamOf(s, func(u *simUpstream) {
+				u.crash(sim)
+				sim.killOwner()
+				u.start(sim, u.startedMS+1)
+				sim.deliverEntry(u, u.entry())
+			})
+		}
+		sim.waitForStart(s, lastingGap)
+		if sim.violation != "" {
+			t.Fatal(sim.violation)
+		}
+	})
+}
+
+// Guards against an upstream with room that stays closed to all tasks but one, which waits for room there without end.
+func TestUpstreamIsNotHeldWithoutEnd(t *testing.T) {
+	for name, lasts := range map[string]bool{"long-running": true, "other": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.addUpstream("u-1")
+			h.fenceAll(platform.PollResult{})
+			h.addJob(1, job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, LongRunning: true})
+			h.acceptStarts(h.decide().starts)
+			suspect := job.Step{Count: 1, Request: job.Resources{MilliCPU: 16000}, Estimate: time.Second}
+			losses := []job.TaskCrash{{Attempt: 1}, {Attempt: 2}}
+			h.inheritJob("0000000000000002", suspect, job.Progress{Parts: []job.PartProgress{{Crashes: losses}}})
+			h.decide()
+			h.advance(time.Second)
+			waiting := h.addJob(3, job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, Estimate: time.Second, LongRunning: lasts})
+			var started []job.ID
+			for range 60 {
+				for _, start := range h.decide().starts {
+					started = append(started, start.Command.Task.Job)
+				}
+				h.advance(100 * time.Millisecond)
+			}
+			is.Equal(started, []job.ID{waiting}) // within 6 s
+		})
+	}
+}
+
+// newQuietSimulation returns a simulation with an owner, in which calls are neither lost nor late and teams have no cap.
+func newQuietSimulation(t *rapid.T, upstreams int) *simulation {
+	sim := newSimulation(t, upstreams)
+	sim.teamCap = job.Resources{}
+	sim.faultsEnded = true
+	sim.claim()
+	sim.advance(200 * time.Millisecond)
+	return sim
+}
+
+// loseUpstreamOf waits until the first task of the job runs and then lets its upstream be lost, soon after.
+func (sim *simulation) loseUpstreamOf(s *storedJob, lose func(*simUpstream)) {
+	sim.waitForStart(s, lastingGap)
+	sim.advance(sim.delay("ran", 150))
+	if u := sim.upstreamOf(s); u != nil {
+		lose(u)
+	}
+}
+
+// upstreamOf returns the upstream on which the first task of the job runs, or nil.
+func (sim *simulation) upstreamOf(s *storedJob) *simUpstream {
+	id := job.TaskID{Job: s.job.ID}
+	i := slices.IndexFunc(sim.upstreams, func(u *simUpstream) bool { return !u.dead && u.running[id] != nil })
+	if i < 0 {
+		return nil
+	}
+	return sim.upstreams[i]
+}
+
+// waitForStart waits until the first task of the job runs. It fails if this takes longer than the limit.
+func (sim *simulation) waitForStart(s *storedJob, limit time.Duration) {
+	for end := sim.now + limit; sim.upstreamOf(s) == nil && sim.violation == ""; sim.advance(10 * time.Millisecond) {
+		if sim.now >= end {
+			sim.fail("LOST: the first task of job %s has not run for %v", s.job.ID, limit)
+		}
+	}
+}
+
+// restartLater crashes an upstream, which starts again under the same ID after a while.
+func (sim *simulation) restartLater(u *simUpstream) {
+	u.crash(sim)
+	u.returnsAt = sim.now + sim.delay("away", 2500)
+}
