schedule: room is not kept for tasks that can never use it

What callers saw: after their runs lapsed in an outage, some long-running tasks wait for ever although their pool has room for them, in calm times.

Cause: for each starving long-running task that fits nowhere now, the upstream that lacks least is kept, so that smaller tasks do not take all room as it becomes free. Whether the room can become free was not asked: other long-running tasks there never end. And what was kept for one starving task was kept from the other starving ones.

Change: an upstream is kept only if the task fits beside the long-running ones there, and only once all starving tasks have taken the room that there is.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -31,7 +31,13 @@
 			waiting = append(waiting, c.newPlacement(p))
 		}
 	}
-	for _, isNext := range []func(candidate) bool{candidate.isStarving, candidate.canBeOnTime, candidate.isAny} {
+	for _, pl := range waiting {
+		pl.placeWhile(c, candidate.isStarving)
+	}
+	for _, pl := range waiting {
+		pl.reserve(c)
+	}
+	for _, isNext := range []func(candidate) bool{candidate.canBeOnTime, candidate.isAny} {
 		for _, pl := range waiting {
 			pl.placeWhile(c, isNext)
 		}
@@ -50,10 +56,11 @@
 // before one of them places other work, and what can be on time before late work, because the number of starts in flight
 // is limited for all pools together.
 type placement struct {
-	pool   *pool
-	usable []*upstream
-	room   []*upstream // usable upstreams on which the smallest request fits
-	next   int         // index of the next candidate in the pool's list
+	pool     *pool
+	usable   []*upstream
+	room     []*upstream // usable upstreams on which the smallest request fits
+	starving []*part     // parts that were placed as starving
+	next     int         // index of the next candidate in the pool's list
 }
 
 func (c *Core) newPlacement(p *pool) *placement {
@@ -86,6 +93,16 @@
 		c.placeTasks(part, pl.usable, pl.room)
 		pl.room = pl.pool.waiting.withRoom(pl.room)
 		if candidate.starving {
+			pl.starving = append(pl.starving, part)
+		}
+	}
+}
+
+// reserve keeps upstreams for the starving parts, once all of them have taken the room that there is: none of them waits for
+// room that is kept for another one.
+func (pl *placement) reserve(c *Core) {
+	for _, part := range pl.starving {
+		if pl.pool.has(part) {
 			pl.room = c.reserveFor(part, pl.room)
 		}
 	}
@@ -113,10 +130,11 @@
 	return room
 }
 
-// mayHold reports whether a task of the part may run on the upstream once other runs there have ended.
+// mayHold reports whether a task of the part may run on the upstream once other runs there have ended. Long-running tasks do
+// not end.
 func (c *Core) mayHold(p *part, up *upstream) bool {
 	reserved := p.step.ReservedResources()
-	return reserved.Fits(up.Capacity) && c.admits(p, up) && up.health.allowsStart(c.now) &&
+	return reserved.Fits(up.Capacity.Sub(up.longRunningResources())) && c.admits(p, up) && up.health.allowsStart(c.now) &&
 		(p.step.MaxPerUpstream == 0 || p.perUpstream[up.ID] < p.step.MaxPerUpstream)
 }
 
