schedule: a long-running task does not wait for the end of a long quarantine

Cause: a quarantine doubles with each failure up to 12 s, and closes the upstream to all tasks. It protects tasks with a limited number of attempts; a long-running task has no such limit.

Change: a starving long-running task that finds no room elsewhere is started, as the trial, on an upstream whose quarantine has lasted for longer than the first one does (1.5 s).

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -33,6 +33,7 @@
 	}
 	for _, pl := range waiting {
 		pl.placeWhile(c, candidate.isStarving)
+		pl.placeOnTrial(c)
 	}
 	for _, pl := range waiting {
 		pl.reserve(c)
@@ -98,6 +99,32 @@
 	}
 }
 
+// placeOnTrial places starving long-running tasks that have found no room on upstreams in quarantine: a failure costs such a
+// task nothing but the attempt.
+func (pl *placement) placeOnTrial(c *Core) {
+	trial := c.trialUpstreams(pl.pool)
+	for _, candidate := range pl.pool.waiting.list {
+		if !candidate.starving || len(trial) == 0 {
+			return
+		}
+		if pl.pool.has(candidate.part) && !candidate.part.step.Gang {
+			c.placeTasks(candidate.part, pl.usable, trial)
+		}
+	}
+}
+
+// trialUpstreams returns the pool's upstreams that have been in quarantine for longer than the first one lasts.
+func (c *Core) trialUpstreams(p *pool) []*upstream {
+	var found []*upstream
+	for _, up := range p.byID {
+		mayTry := up.health.quarantines > 0 && c.now >= up.health.quarantinedAt+baseQuarantine
+		if mayTry && up.health.isExcluded(c.now) && !up.released && c.isReady(up) {
+			found = append(found, up)
+		}
+	}
+	return found
+}
+
 // reserve keeps upstreams for the starving parts, once all of them have taken the room that there is: none of them waits for
 // room that is kept for another one.
 func (pl *placement) reserve(c *Core) {
@@ -214,9 +241,12 @@
 
 // isInService reports whether tasks could start on the upstream, even if it takes no new ones because its machine is to
 // move to another pool.
-func (c *Core) isInService(up *upstream) bool {
+func (c *Core) isInService(up *upstream) bool { return c.isReady(up) && !up.health.isExcluded(c.now) }
+
+// isReady reports whether tasks could start on the upstream, were it not for its failures.
+func (c *Core) isReady(up *upstream) bool {
 	return up.listed && up.fenced && up.stored && !up.terminated && !up.Draining && up.failedPolls == 0 && up.unknownRuns == 0 &&
-		!c.evacuated[up.Zone] && !up.cordoned && !up.health.isExcluded(c.now) && c.mayExtendLease(up)
+		!c.evacuated[up.Zone] && !up.cordoned && c.mayExtendLease(up)
 }
 
 func (p *pool) hasUnreconciled() bool {
