schedule: a long-running task waits for its rack only until it starves

What callers saw: a long-running task with data on a full rack waits for as long as a task of its step is expected to run, which for such a task is no bound.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -446,7 +446,7 @@
 func (c *Core) chooseUpstream(p *part, t *task, usable, room []*upstream, reserved job.Resources) *upstream {
 	var best *upstream
 	var bestScore float64
-	waitForRack := p.step.Rack != "" && c.now-p.releasedAt < c.expectedDuration(p.job, p.step)
+	waitForRack := p.step.Rack != "" && c.mayWaitForRack(p, t)
 	for _, up := range room {
 		if !reserved.Fits(up.freeCapacity()) || !up.isOpen(p, t, c.now) || !c.admits(p, up) {
 			continue
@@ -455,7 +455,7 @@
 			continue
 		}
 		if waitForRack && up.rack != p.step.Rack && hasRack(usable, p.step.Rack) {
-			continue // prefer to wait for the rack of the data for up to one expected task duration
+			continue
 		}
 		if !up.health.allowsStart(c.now) {
 			continue
@@ -468,6 +468,15 @@
 	return best
 }
 
+// mayWaitForRack reports whether a task should rather wait for the rack of its data: for up to the expected duration of the
+// task. A long-running one has no duration, and waits until it starves.
+func (c *Core) mayWaitForRack(p *part, t *task) bool {
+	if p.step.LongRunning {
+		return !p.isStarving(t, c.now)
+	}
+	return c.now-p.releasedAt < c.expectedDuration(p.job, p.step)
+}
+
 func hasRack(usable []*upstream, rack string) bool {
 	return slices.ContainsFunc(usable, func(up *upstream) bool { return up.rack == rack })
 }
