schedule: one bound for what a restarted upstream may still carry out, and other upstreams first

It now ends with the bound that polls and starts in flight at a restart have: the time of a command and the platform's longest lease (11.9 s). That a command is put off by the new incarnation for longer is not covered, as before for polls (question to the users in platform-design.md). - A task was started on an upstream with that bound although another one had room, and had to wait for it when the upstream was gone a second later. Such upstreams are now chosen last.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -33,9 +33,6 @@
 	maxPollWait = time.Second
 	// maxCommandTime is the longest time until a command that is in flight reaches its upstream or times out.
 	maxCommandTime = maxPollWait + 500*time.Millisecond
-	// maxLateness is the longest time for which an upstream may put off a call that got no response. The platform names no
-	// bound but seconds.
-	maxLateness = 12 * time.Second
 	// pollRetryDelay and maxPollRetryDelay bound the backoff after a failed poll.
 	pollRetryDelay    = 150 * time.Millisecond
 	maxPollRetryDelay = time.Second
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -178,7 +178,6 @@
 		up.runs.set(r.id(), r)
 		c.stopRun(r, "its upstream has started anew")
 	}
-	up.unreachedLeaseEnd = c.now + maxLateness + time.Duration(float64(c.Bounds.MaxLease)/minClockRate) + leaseSlack
 	up.StartedMS = startedMS
 	up.lastHandledEnd, up.ackable, up.ackConfirmed, up.pendingAcks = 0, 0, 0, nil
 	// An upstream that this owner has not fenced yet may have restarted before an earlier owner started tasks there.
@@ -190,13 +189,13 @@
 }
 
 // allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a command with a deadline is in
-// flight. The new incarnation may execute it, and the deadline is on the clock of the earlier one.
+// flight, or a start got no answer. The new incarnation may execute it, and the deadline is on the clock of the earlier one.
 func (c *Core) allowForStaleDeadline(up *upstream) {
-	inFlight := up.polling && up.pollExtends
+	mayArrive := up.polling && up.pollExtends
 	for _, r := range up.runs.all() {
-		inFlight = inFlight || r.commandInFlight && r.state == runStarting
+		mayArrive = mayArrive || r.mayStillStart()
 	}
-	if inFlight {
+	if mayArrive {
 		up.minLeaseEnd = c.now + maxCommandTime + time.Duration(float64(c.Bounds.MaxLease)/minClockRate) + leaseSlack
 	}
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -490,6 +490,8 @@
 	wantedLabelPenalty = 2.0
 	// packingBonus keeps long-running tasks together, so that other machines of the pool stay free to move.
 	packingBonus = 1.0
+	// longLeasePenalty keeps tasks off upstreams that could not be given up for longer than one lease.
+	longLeasePenalty = 4.0
 )
 
 // score rates an upstream for a task; higher is better. Tasks are packed, so that whole machines stay free to move to
@@ -510,6 +512,9 @@
 	if p.step.BestEffort && up.runsServingTask() {
 		score -= bestEffortNearServingPenalty
 	}
+	if up.minLeaseEnd > c.now+c.Lease {
+		score -= longLeasePenalty
+	}
 	if up.WarmUp > 0 {
 		score -= badUpstreamPenalty
 	}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -38,9 +38,6 @@
 	maxDeadline int64 // latest lease deadline in any command that may have reached the upstream
 	// minLeaseEnd is the earliest time by which the lease can be known to have expired, whatever maxDeadline is.
 	minLeaseEnd time.Duration
-	// unreachedLeaseEnd is when the lease of starts without a response has expired on an upstream that has started anew and
-	// has not been reached since.
-	unreachedLeaseEnd time.Duration
 
 	polling        bool
 	pollExtends    bool   // the poll in flight extends the lease
@@ -99,7 +96,7 @@
 // reached it.
 func (u *upstream) leaseEnd() time.Duration {
 	if !u.fenced {
-		return u.unreachedLeaseEnd
+		return u.minLeaseEnd
 	}
 	left := float64(max(u.maxDeadline-u.clockMS, 0)) / minClockRate
 	return max(u.clockAt+time.Duration(left*float64(time.Millisecond))+leaseSlack, u.minLeaseEnd)
