schedule: an upstream that was released for another pool opens again when its own pool lacks it

What callers saw: long-running tasks wait although an upstream of their pool has room: it takes no new tasks, so that its machine can move to a pool with a backlog, and stays so for as long as any pool lacks machines. Now the release ends when the pool's own capacity is below what its long-running tasks need.

--- a/schedule/movable.go
+++ b/schedule/movable.go
@@ -92,10 +92,15 @@
 	for _, d := range demands {
 		lacking += d.urgentShortage()
 	}
+	lacksMachines := map[string]bool{}
+	for _, d := range demands {
+		lacksMachines[d.pool.name] = d.capacity < min(d.target, d.need[tierLongRunning])
+	}
 	for _, up := range c.movable.released {
-		if lacking <= 0 {
+		if lacking <= 0 || lacksMachines[up.Pool] {
 			up.released = false
 			c.Log("release ended", "upstream", up.ID, "pool", up.Pool)
+			continue
 		}
 		lacking -= up.Capacity.MilliCPU
 	}
