schedule: a cancelled job keeps the places of its tasks while these may run unseen

Found by reading (QUOTA): an owner stored a cancelled job without the places of its tasks although they could still run on an upstream that it had not reached. The next owner did not count them against the team's cap.

--- a/schedule/records.go
+++ b/schedule/records.go
@@ -58,7 +58,7 @@
 	c.lastBatch++
 	batch := RecordBatch{Number: c.lastBatch, CommandedMachines: c.takeCommandedMachines(), Unreached: c.takeUnreached()}
 	for id, j := range c.dirty.all() {
-		batch.Jobs = append(batch.Jobs, Record{ID: id, Progress: j.snapshot()})
+		batch.Jobs = append(batch.Jobs, Record{ID: id, Progress: c.snapshot(j)})
 		c.dirty.delete(id)
 		c.begun.delete(id)
 	}
@@ -155,10 +155,10 @@
 	return j.phase
 }
 
-// snapshot returns a copy of the progress to be stored.
-func (j *jobState) snapshot() job.Progress {
+// snapshot returns a copy of the job's progress to be stored. That of an ended job has no parts once nothing of it can run.
+func (c *Core) snapshot(j *jobState) job.Progress {
 	progress := job.Progress{Phase: j.shownPhase(), EndedMS: j.endedMS}
-	if j.phase.Terminal() && j.hasNoRuns() {
+	if j.phase.Terminal() && j.hasNoRuns() && !c.mayRunUnseenOf(j) {
 		return progress
 	}
 	for _, p := range j.parts {
