schedule: advice is asked for on upstreams with room, and again if those with a ticket are full

Found by reading: a task that needs advice waits, for ever or for as long as its tickets are valid, while upstreams have room: advice was asked for on the first 30 upstreams by ID, full or not, and not again while one of them had given a ticket. Now those with room are named first, and after 1 s the others if the task fits on no upstream with a ticket.

--- a/schedule/tickets.go
+++ b/schedule/tickets.go
@@ -13,6 +13,7 @@
 	requestedAt time.Duration
 	validUntil  time.Duration
 	requesting  bool
+	asked       map[string]bool // the upstreams that the last request named
 }
 
 const (
@@ -21,6 +22,8 @@
 	ticketTransitMargin = 300 * time.Millisecond
 	maxAdviceUpstreams  = 30 // per request
 	adviceRetryDelay    = 300 * time.Millisecond
+	// otherTicketsDelay is the shortest time between two requests for a step while its tickets are valid.
+	otherTicketsDelay = time.Second
 )
 
 // AdviceRequest requests advice on which upstreams may run a step.
@@ -50,10 +53,9 @@
 	}
 	for _, pool := range c.pools.all() {
 		for p := range pool.parts.all() {
-			if !p.job.Queue.NeedsAdvice || !p.hasWaiting(c.now) || !c.needsTickets(p) {
-				continue
+			if p.job.Queue.NeedsAdvice && p.hasWaiting(c.now) && (c.needsTickets(p) || c.needsOtherTickets(p, pool)) {
+				c.requestTickets(p, pool)
 			}
-			c.requestTickets(p, pool)
 		}
 	}
 }
@@ -63,18 +65,49 @@
 	return t == nil || !t.requesting && (c.now > t.validUntil || len(t.byUpstream) == 0 && c.now > t.requestedAt+adviceRetryDelay)
 }
 
+// needsOtherTickets reports whether the part's tasks fit on none of the upstreams with a ticket, but on another one that the
+// last request did not name.
+func (c *Core) needsOtherTickets(p *part, pool *pool) bool {
+	t := p.tickets
+	if t == nil || t.requesting || c.now < t.requestedAt+otherTicketsDelay {
+		return false
+	}
+	reserved := p.step.ReservedResources()
+	other := false
+	for _, up := range c.usable(pool) {
+		if !reserved.Fits(up.freeCapacity()) {
+			continue
+		}
+		if t.byUpstream[up.ID] != "" {
+			return false
+		}
+		other = other || !t.asked[up.ID]
+	}
+	return other
+}
+
+// requestTickets requests tickets for upstreams on which the part's tasks fit now, and then for others on which they can.
 func (c *Core) requestTickets(p *part, pool *pool) {
-	var names []string
+	reserved := p.step.ReservedResources()
+	var open, full []string
 	for _, up := range c.usable(pool) {
-		if len(names) < maxAdviceUpstreams && p.step.ReservedResources().Fits(up.Capacity) {
-			names = append(names, up.ID)
+		switch {
+		case reserved.Fits(up.freeCapacity()):
+			open = append(open, up.ID)
+		case reserved.Fits(up.Capacity):
+			full = append(full, up.ID)
 		}
 	}
+	names := append(open, full...)
+	names = names[:min(len(names), maxAdviceUpstreams)]
 	if len(names) == 0 {
 		return
 	}
 	timing := c.queues[p.job.Queue.Name].Advice
-	p.tickets = &tickets{requesting: true, requestedAt: c.now}
+	p.tickets = &tickets{requesting: true, requestedAt: c.now, asked: map[string]bool{}}
+	for _, name := range names {
+		p.tickets.asked[name] = true
+	}
 	c.calls = append(c.calls, AdviceRequest{
 		Job: p.job.ID, Occurrence: p.occurrence, Step: p.stepIndex, Upstreams: names,
 		Timeout: 2*(timing.PerCall+time.Duration(len(names))*timing.PerUpstream) + time.Second,
