--- a/schedule/unreached_test.go
+++ b/schedule/unreached_test.go
@@ -100,3 +100,32 @@
 		t.Fatal("started before the lease has ended")
 	})
 }
+
+// Guards against a second run beside one that was found on an upstream whose lease this owner has not extended yet: its polls
+// went unanswered, and the run was taken for lost at once (TWICE in TestHistoriesKeepLongRunningTasksAtWork, seed 4000008785).
+func TestFoundRunIsKeptForTheLeaseOfTheEarlierOwner(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.runUnreached(schedule.UnreachedUpstreams{}, time.Second, func() {})
+	h.addUpstream("u-gone")
+	found := platform.PollResult{Running: []platform.CurrentRun{{Task: job.TaskID{Job: "0000000000000001"}, Attempt: 1}}}
+	reached := false
+	for range 30 {
+		h.advance(100 * time.Millisecond)
+		calls := h.core.Decide()
+		is.Equal(len(callsOf[schedule.Start](calls)), 0)
+		for _, poll := range callsOf[schedule.Poll](calls) {
+			switch {
+			case poll.Target.ID != "u-gone":
+				h.answerPoll(poll, platform.PollResult{})
+			case !reached:
+				reached = true
+				h.answerPoll(poll, found)
+			default:
+				h.core.HandlePollResult(poll, platform.PollResult{}, lostStart)
+			}
+		}
+	}
+	is.True(reached)
+	is.Equal(h.core.Stats().Requeued, 0)
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -161,7 +161,7 @@
 			c.Log("lease of an earlier owner has expired", "upstream", up.ID, "claimed_ms_ago", (c.now - c.Claimed).Milliseconds())
 			c.countUnseenCrash(up)
 		}
-		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.leaseEnd() {
+		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.lastLeaseEnd() {
 			c.loseRuns(up, "its lease has expired")
 		}
 		if !up.listed && up.reconciled && up.stored && up.runs.len() == 0 && (up.terminated || up.failedPolls > 0 || up.isIdle()) {
