--- a/schedule/health.go
+++ b/schedule/health.go
@@ -34,7 +34,12 @@
 
 func (h *health) recordSuccess() { *h = health{excludedUntil: h.excludedUntil} }
 
-func (h *health) recordFailure(c *Core, up *upstream, id job.ID) {
+// recordFailure records that a run of the job, started at the given time (0: not known), has failed. Runs from before the last
+// quarantine say nothing new.
+func (h *health) recordFailure(c *Core, up *upstream, id job.ID, started time.Duration) {
+	if h.quarantines > 0 && started <= h.quarantinedAt {
+		return
+	}
 	h.consecutiveFailures++
 	if id != h.lastJob {
 		h.jobChanges++
@@ -144,7 +149,7 @@
 			r.overdue = true
 			r.task().overdueStops++
 			r.task().lastFailedOn = up.ID
-			up.health.recordFailure(c, up, r.part.job.ID)
+			up.health.recordFailure(c, up, r.part.job.ID, r.started)
 			c.stopRun(r, "overdue")
 		}
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -457,7 +457,7 @@
 		if waitForRack && up.rack != p.step.Rack && hasRack(usable, p.step.Rack) {
 			continue
 		}
-		if !up.health.allowsStart(c.now) {
+		if !up.health.allowsStart(c.now) && !c.mayStartBesideTrial(p, t, up) {
 			continue
 		}
 		score := c.score(p, t, up)
@@ -468,6 +468,12 @@
 	return best
 }
 
+// mayStartBesideTrial reports whether a long-running task need not wait for a trial: it starves, and the failures are rather the
+// fault of tasks than of the upstream.
+func (c *Core) mayStartBesideTrial(p *part, t *task, up *upstream) bool {
+	return p.step.LongRunning && p.isStarving(t, c.now) && c.mostQuarantined(up)
+}
+
 // mayWaitForRack reports whether a task should rather wait for the rack of its data: for up to the expected duration of the
 // task. A long-running one has no duration, and waits until it starves.
 func (c *Core) mayWaitForRack(p *part, t *task) bool {
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"time"
+
 	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 )
@@ -125,7 +127,7 @@
 	case platform.EndDone:
 		return c.taskDone(p, index, r, up)
 	case platform.EndFailed:
-		return c.taskFailed(p, index, end, up)
+		return c.taskFailed(p, index, r, end, up)
 	}
 	if r != nil {
 		c.requeue(r, string(end.Kind), end.Checkpoint)
@@ -176,9 +178,13 @@
 	}
 }
 
-func (c *Core) taskFailed(p *part, index int, end platform.EndedRun, up *upstream) bool {
+func (c *Core) taskFailed(p *part, index int, r *run, end platform.EndedRun, up *upstream) bool {
 	t := &p.tasks[index]
-	up.health.recordFailure(c, up, p.job.ID)
+	var started time.Duration
+	if r != nil {
+		started = r.started
+	}
+	up.health.recordFailure(c, up, p.job.ID, started)
 	t.lastFailedOn = up.ID
 	if p.step.LongRunning {
 		t.failures++
