--- a/schedule/core.go
+++ b/schedule/core.go
@@ -101,7 +101,9 @@
 	inheritedCommands map[string]bool
 	unknownCommands   bool // an earlier owner may have sent commands for any machine
 
-	unreached unreachedRecord
+	unreached   unreachedRecord
+	losses      []*loss             // of upstreams, in the order in which they were noted
+	rackHolders map[poolPlace]*task // the tasks for which racks are closed to others, as of the current round of placement
 
 	calls []Call
 	// anyUnreconciled is set while some upstream has not been reached since the claim.
@@ -322,6 +324,7 @@
 	c.addDueOccurrences()
 	c.expireLeases()
 	c.reviewUnreached()
+	c.judgeLosses()
 	c.markBegunJobs()
 	if c.now >= c.nextReview {
 		c.nextReview = c.now + reviewInterval
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -23,6 +23,7 @@
 	// earlierLeaseEnd is the time by which the leases that earlier owners granted have expired; 0: they granted none.
 	earlierLeaseEnd time.Duration
 	fenced          bool // it has answered a poll with this owner's token
+	fencedAt        time.Duration
 	reached         bool // it, or an earlier incarnation, has answered a poll of this owner
 	reconciled      bool // the runs that an earlier owner may have started there are known or have ended
 
@@ -46,7 +47,9 @@
 	answeredSeq    uint64 // of the last poll that was answered
 	nextPoll       time.Duration
 	polledAt       time.Duration // when the last poll was sent
+	askedAt        time.Duration // when it was last to be polled even without runs
 	failedPolls    int
+	silentSince    time.Duration // time of the first call without an answer since the last response
 	lastResponseAt time.Duration // time of the last response to a poll
 
 	lastHandledEnd uint64 // sequence number of the last end that was handled
@@ -121,7 +124,6 @@
 		c.Log("runs lost", "upstream", up.ID, "reason", reason, "runs", up.runs.len(), "failed_looks", up.failedPolls,
 			"heard_ms_ago", (c.now - up.lastResponseAt).Milliseconds())
 	}
-	c.countCrash(up)
 	for _, r := range up.runs.all() {
 		c.detach(r)
 		c.requeue(r, "upstream lost", r.checkpoint)
@@ -162,6 +164,7 @@
 			c.countUnseenCrash(up)
 		}
 		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.lastLeaseEnd() {
+			c.noteLoss(up, !up.listed)
 			c.loseRuns(up, "its lease has expired")
 		}
 		if !up.listed && up.reconciled && up.stored && up.runs.len() == 0 && (up.terminated || up.failedPolls > 0 || up.isIdle()) {
