cmd/citrongauge, testbed: long-running tasks in daemon processes under series of faults

The stand-ins: an upstream runs tasks with LongRunningSpec until they are stopped, lapse or crash, limits a lease to hold_max_ms and can start anew under any ID; a Gate turns one host away from the store; leases can be extended.

--- a/cmd/citrongauge/soak_test.go
+++ b/cmd/citrongauge/soak_test.go
@@ -57,6 +57,8 @@
 	hosts  []*soakHost
 	client *http.Client
 
+	smallHosts int // number of hosts, the first ones, that are less fit to be the owner
+
 	mu       sync.Mutex
 	specs    map[string]string // spec of each submitted job by its ID
 	accepted map[string]bool   // by job ID
@@ -69,34 +71,42 @@
 	logPath       string
 	process       *exec.Cmd
 	storeProxy    *platformfleet.Proxy
+	gate          *platformfleet.Gate
 }
 
 func soak(t *testing.T, seed uint64) {
-	f, err := platformfleet.New(platformfleet.Options{Zones: 3, UpstreamsPerZone: 2, TaskDuration: 250 * time.Millisecond, TeamKey: soakTeamKey, ProxyUpstreams: true})
+	s := newSoak(t, seed, 2, 0)
+	loadDone := make(chan struct{})
+	go s.submitJobs(loadDone)
+	s.injectFaults(loadDone)
+	s.clearFaults()
+	s.verify()
+}
+
+// newSoak starts a fleet with three zones and waits until its hosts are ready. The first hosts, as many as smallHosts, are
+// less fit to be the owner.
+func newSoak(t *testing.T, seed uint64, upstreamsPerZone, smallHosts int) *soakRun {
+	f, err := platformfleet.New(platformfleet.Options{Zones: 3, UpstreamsPerZone: upstreamsPerZone, TaskDuration: 250 * time.Millisecond, TeamKey: soakTeamKey, ProxyUpstreams: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
+	t.Cleanup(f.Close)
 	s := &soakRun{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), fleet: f, client: &http.Client{Timeout: clientTimeout},
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), fleet: f, client: &http.Client{Timeout: clientTimeout}, smallHosts: smallHosts,
 		specs: map[string]string{}, accepted: map[string]bool{}, rejected: map[string]bool{},
 	}
-	directory := t.TempDir()
-	for i := range soakHostCount {
-		s.hosts = append(s.hosts, s.newHost(directory, i))
-	}
-	defer s.stop()
-	defer func() {
+	directory := t.TempDir() // removed after the clean-up below
+	t.Cleanup(func() {
 		if t.Failed() {
 			s.saveLogs(seed)
 		}
-	}()
+		s.stop()
+	})
+	for i := range soakHostCount {
+		s.hosts = append(s.hosts, s.newHost(directory, i))
+	}
 	s.waitReady()
-	loadDone := make(chan struct{})
-	go s.submitJobs(loadDone)
-	s.injectFaults(loadDone)
-	s.clearFaults()
-	s.verify()
+	return s
 }
 
 func (s *soakRun) newHost(directory string, i int) *soakHost {
@@ -109,13 +119,20 @@
 		clientAddress: freeAddress(s.t), settingsPath: filepath.Join(directory, fmt.Sprintf("host%d.toml", i)),
 		logPath: filepath.Join(directory, fmt.Sprintf("host%d.log", i)),
 	}
-	name := fmt.Sprintf("edge-%d", i+1)
-	proxy, err := platformfleet.NewProxy(s.fleet.StoreAddress())
+	name := hostName(i)
+	gate, address, err := s.fleet.NewGate()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	proxy, err := platformfleet.NewProxy(address)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	h.storeProxy = proxy
+	h.storeProxy, h.gate = proxy, gate
 	content := s.fleet.Settings(name, platformfleet.ZoneName(i), h.clientAddress, freeAddress(s.t), port)
+	if i < s.smallHosts {
+		content = strings.Replace(content, "[limits]", "[limits]\ncpu_share = 0.1", 1)
+	}
 	content = strings.Replace(content, s.fleet.StoreAddress(), proxy.Address(), 1)
 	if err := os.WriteFile(h.settingsPath, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -124,6 +141,8 @@
 	return h
 }
 
+func hostName(i int) string { return fmt.Sprintf("edge-%d", i+1) }
+
 func (s *soakRun) start(h *soakHost) {
 	logFile, err := os.OpenFile(h.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -131,6 +150,9 @@
 	}
 	defer func() { _ = logFile.Close() }() // the process has its own copy of the file descriptor
 	h.process = exec.Command(daemonBinary, "entry", "--settings", h.settingsPath)
+	if n := os.Getenv("DAEMON_GOMAXPROCS"); n != "" {
+		h.process.Env = append(os.Environ(), "GOMAXPROCS="+n)
+	}
 	h.process.Stdout, h.process.Stderr = logFile, logFile
 	if err := h.process.Start(); err != nil {
 		s.t.Fatal(err)
@@ -202,12 +224,15 @@
 	submissions.Wait()
 }
 
-// submit submits a job, trying hosts in turn until one accepts it.
+// submit submits a job of two steps, trying hosts in turn until one accepts it.
 func (s *soakRun) submit(number int) {
-	id := fmt.Sprintf("%016x", number)
-	spec := fmt.Sprintf("job %d", number)
-	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":250},`+
-		`{"count":2,"cpu":1500,"mem_mb":100,"estimate_ms":250,"after":[0]}]}`, spec)
+	s.submitSteps(number, fmt.Sprintf("job %d", number), `{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":250},`+
+		`{"count":2,"cpu":1500,"mem_mb":100,"estimate_ms":250,"after":[0]}`)
+}
+
+func (s *soakRun) submitSteps(number int, spec, steps string) {
+	id := jobID(number)
+	body := fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, spec, steps)
 	s.mu.Lock()
 	s.specs[id] = spec
 	s.mu.Unlock()
@@ -231,6 +256,8 @@
 	s.mu.Unlock()
 }
 
+func jobID(number int) string { return fmt.Sprintf("%016x", number) }
+
 // injectFaults injects random faults until loadDone is closed.
 func (s *soakRun) injectFaults(loadDone chan struct{}) {
 	for {
--- a/testbed/fleet/store.go
+++ b/testbed/fleet/store.go
@@ -109,6 +109,25 @@
 	s.history, s.compactedRevision = nil, s.revision
 }
 
+// ExtendLeases extends all leases, as a store does whose leases pause while it is down.
+func (s *Store) ExtendLeases(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.expiresAt = l.expiresAt.Add(by)
+	}
+}
+
+// LeaseExpiry returns when the lease of a key expires; zero if it has none.
+func (s *Store) LeaseExpiry(key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[s.items[key].Lease]; l != nil {
+		return l.expiresAt
+	}
+	return time.Time{}
+}
+
 func (s *Store) put(key string, value []byte, leaseID uint64) {
 	created := s.items[key].Created
 	if created == 0 {
--- a/testbed/fleet/upstream.go
+++ b/testbed/fleet/upstream.go
@@ -24,7 +24,11 @@
 	Acknowledged bool
 }
 
-// Upstream is the stand-in for one upstream. Each of its tasks runs for TaskDuration. It is safe for concurrent use.
+// LongRunningSpec begins the spec of tasks that run until they are stopped, lapse or crash.
+const LongRunningSpec = "long-running"
+
+// Upstream is the stand-in for one upstream. Each of its tasks runs for TaskDuration, but those with LongRunningSpec. It
+// is safe for concurrent use.
 type Upstream struct {
 	ID           string
 	Pool         string
@@ -52,6 +56,7 @@
 	DropNthResponse int           // drops the response to each nth accepted start; 0 for none
 	FailAll         bool          // tasks fail when their time is over
 	ExtraDuration   time.Duration // added to TaskDuration
+	OnCall          func()        // called at each call
 }
 
 // runEnd is the end of a run, which is listed in responses to polls until it is acknowledged.
@@ -68,6 +73,7 @@
 	capacityMilliCPU = 16000
 	capacityMemoryMB = 64000
 	maxListedEnds    = 500 // in one response to a poll
+	maxLeaseMS       = 10000
 	tickInterval     = 5 * time.Millisecond
 )
 
@@ -81,6 +87,8 @@
 
 // StoreEntry returns the entry with which the upstream registers itself in the store.
 func (u *Upstream) StoreEntry() []byte {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	data, err := json.Marshal(map[string]any{
 		"service": u.Pool, "address": u.Address, "zone": u.Zone, "version": "v1", "slots": 8, "phase": "ready",
 		"cold_remaining_ms": 0, "sequence": 1, "born": u.startedAt.UnixMilli(), "machine": "m-" + u.ID,
@@ -100,6 +108,30 @@
 	u.faults = faults
 }
 
+// Restart crashes the upstream and starts a new incarnation under the given ID, which knows nothing of before.
+func (u *Upstream) Restart(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for task := range u.running {
+		u.endRun(task, "crashed")
+	}
+	u.ID, u.startedAt = id, time.Now()
+	u.fencingToken, u.leaseDeadlineMS, u.lastSeq, u.ends = 0, 0, 0, nil
+	clear(u.highestEnded)
+}
+
+// CurrentID returns the ID of the upstream's present incarnation.
+func (u *Upstream) CurrentID() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ID
+}
+
+// extendLease extends the lease to a deadline on the clock of clockMS. The caller must hold the lock.
+func (u *Upstream) extendLease(deadlineMS int64) {
+	u.leaseDeadlineMS = max(u.leaseDeadlineMS, min(deadlineMS, u.clockMS()+maxLeaseMS))
+}
+
 // History returns copies of all runs that were started.
 func (u *Upstream) History() []Run {
 	u.mu.Lock()
@@ -127,7 +159,7 @@
 		switch {
 		case u.clockMS() > u.leaseDeadlineMS:
 			u.endRun(task, "lapsed")
-		case time.Since(r.Begin) > u.TaskDuration+u.faults.ExtraDuration:
+		case !strings.HasPrefix(r.Spec, LongRunningSpec) && time.Since(r.Begin) > u.TaskDuration+u.faults.ExtraDuration:
 			if u.faults.FailAll {
 				u.endRun(task, "failed")
 			} else {
@@ -161,13 +193,16 @@
 // ServeHTTP implements the protocol of the platform's upstreams.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
-	unresponsive := u.faults.Unresponsive
+	unresponsive, onCall, id := u.faults.Unresponsive, u.faults.OnCall, u.ID
 	u.mu.Unlock()
+	if onCall != nil {
+		onCall()
+	}
 	if unresponsive {
 		<-r.Context().Done()
 		return
 	}
-	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != u.ID {
+	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -184,6 +219,8 @@
 	case "hold": // polls the runs and renews the lease
 		u.poll(w, r, body)
 	case "pace": // throttles a run; accepted without effect
+		u.mu.Lock()
+		defer u.mu.Unlock()
 		writeJSON(w, map[string]any{"clock_ms": u.clockMS()})
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -225,7 +262,7 @@
 		u.reject(w, "late")
 		return
 	}
-	u.leaseDeadlineMS = max(u.leaseDeadlineMS, body.DeadlineMS)
+	u.extendLease(body.DeadlineMS)
 	r := &Run{Task: body.Task, Attempt: body.Attempt, Spec: body.Spec, Upstream: u.ID, Begin: time.Now()}
 	u.running[body.Task] = r
 	u.history = append(u.history, r)
@@ -253,13 +290,20 @@
 // unacknowledged ends, otherwise when a run ends or the wait time is over.
 func (u *Upstream) poll(w http.ResponseWriter, r *http.Request, body requestBody) {
 	timeout := time.After(time.Duration(body.WaitMS) * time.Millisecond)
+	u.mu.Lock()
+	incarnation := u.startedAt
+	u.mu.Unlock()
 	for {
 		u.mu.Lock()
+		if !incarnation.Equal(u.startedAt) {
+			u.mu.Unlock()
+			panic(http.ErrAbortHandler) // the upstream has crashed
+		}
 		if u.rejectStaleToken(w, body.Token) {
 			u.mu.Unlock()
 			return
 		}
-		u.leaseDeadlineMS = max(u.leaseDeadlineMS, body.DeadlineMS)
+		u.extendLease(body.DeadlineMS)
 		for len(u.ends) > 0 && u.ends[0].seq <= body.AckCursor {
 			u.ends[0].run.Acknowledged = !u.ends[0].leaseExpired
 			u.ends = u.ends[1:]
