schedule: a stopped long-running task does not wait for a silent upstream

What callers saw: a long-running task waits for up to 12 s for an upstream that has started anew, has answered the stop of its unanswered start, and is gone. Once a stop is answered, nothing of the run goes on for longer than a stop takes, and later starts of it are rejected, so that its lease need not be waited for.

--- a/schedule/lasting_test.go
+++ b/schedule/lasting_test.go
@@ -352,3 +352,22 @@
 	is.Equal(len(records), 1)
 	is.Equal(len(records[0].Progress.Parts), 1)
 }
+
+// Guards against a long-running task that waits for the end of a lease on an upstream that has answered its stop and is silent
+// since: nothing of it can run there (TestHistoriesKeepLongRunningTasksAtWork, seeds 14000001898 and 12000052010).
+func TestStoppedTaskDoesNotWaitForSilentUpstream(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2")...)
+	f.loses = true
+	id := f.addJob(1, lasting(1, 1000))
+	f.live(100 * time.Millisecond)
+	is.Equal(f.core.Stats().Starts, 1) // on u-1, without a response
+	f.loses = false
+	restarted := upstreamEntry("u-1", 16000)
+	restarted.StartedMS = 2
+	f.core.SetUpstream(restarted)
+	f.live(50 * time.Millisecond) // the stop is answered
+	f.silent["u-1"] = true
+	f.live(3 * time.Second)
+	is.Equal(f.runsOf(id), 1)
+}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -41,7 +41,8 @@
 	lastListed      uint64 // last poll whose response listed the run
 	unanswered      int    // number of unanswered commands of the current kind
 	retryAt         time.Duration
-	commandInFlight bool // a command for the run is in flight
+	commandInFlight bool          // a command for the run is in flight
+	stoppedAt       time.Duration // when the stop was answered
 	// startUnresolved is set once a copy of the start was not answered. The upstream may still carry that copy out at
 	// any time.
 	startUnresolved bool
@@ -355,13 +356,13 @@
 	var rejected *platform.RejectedError
 	switch {
 	case err == nil:
-		r.state = runStopped
+		r.state, r.stoppedAt = runStopped, c.now
 	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedFence:
 		c.superseded = true
 	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedOtherInstance:
 		c.handleReplaced(r.up)
 	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedOldAttempt:
-		r.state = runStopped
+		r.state, r.stoppedAt = runStopped, c.now
 	default:
 		r.scheduleRetry(c.now)
 		if r.unanswered == 1 {
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -163,6 +163,9 @@
 			c.Log("lease of an earlier owner has expired", "upstream", up.ID, "claimed_ms_ago", (c.now - c.Claimed).Milliseconds())
 			c.countUnseenCrash(up)
 		}
+		if up.failedPolls > 0 {
+			c.endStoppedRuns(up)
+		}
 		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.lastLeaseEnd() {
 			c.noteLoss(up, !up.listed)
 			c.loseRuns(up, "its lease has expired")
@@ -173,6 +176,18 @@
 	}
 }
 
+// endStoppedRuns ends the long-running runs on an upstream that does not answer whose stop it has answered before: nothing of
+// them runs after the longest time that a stop takes, and a start that arrives later is rejected. Other tasks may have been
+// done before the stop.
+func (c *Core) endStoppedRuns(up *upstream) {
+	for _, r := range up.runs.all() {
+		if r.part.step.LongRunning && r.state == runStopped && c.now > r.stoppedAt+c.Bounds.StopTimeout+stopMargin {
+			c.detach(r)
+			c.requeue(r, "stopped", r.checkpoint)
+		}
+	}
+}
+
 // isListingEnds reports whether the upstream answers, but has not listed all ends yet. A run that it lists nowhere may
 // have ended.
 func (u *upstream) isListingEnds() bool { return u.moreEnds && u.failedPolls == 0 }
