schedule: a restart that a poll shows allows for that poll's deadline

TestLeaseAllowsForPollOfEarlierIncarnation, now in both orders, failed in this one: a task was started elsewhere while its run could go on.

--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -40,7 +40,7 @@
 			"draining", entry.Draining, "cordoned", up.cordoned)
 	}
 	if up.StartedMS != 0 && entry.StartedMS != 0 && entry.StartedMS > up.StartedMS {
-		c.handleRestart(up, entry.StartedMS)
+		c.handleRestart(up, entry.StartedMS, up.polling && up.pollExtends)
 	}
 	if entry.Draining && !up.Draining {
 		c.Log("upstream draining", "upstream", entry.ID, "remaining_ms", entry.DrainRemaining.Milliseconds(), "runs", up.runs.len())
@@ -165,10 +165,10 @@
 }
 
 // handleRestart handles the restart of an upstream under the same ID: its earlier runs have ended, and the sequence
-// numbers of its ends begin again.
-func (c *Core) handleRestart(up *upstream, startedMS int64) {
+// numbers of its ends begin again. pollArrives: the new incarnation may carry out a poll that extends the lease.
+func (c *Core) handleRestart(up *upstream, startedMS int64, pollArrives bool) {
 	c.noteLoss(up, true)
-	c.allowForStaleDeadline(up)
+	c.allowForStaleDeadline(up, pollArrives)
 	var mayStart []*run
 	for _, r := range up.runs.all() {
 		if r.mayStillStart() {
@@ -195,8 +195,8 @@
 
 // allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a command with a deadline is in
 // flight, or a start got no answer. The new incarnation may execute it, and the deadline is on the clock of the earlier one.
-func (c *Core) allowForStaleDeadline(up *upstream) {
-	mayArrive := up.polling && up.pollExtends
+func (c *Core) allowForStaleDeadline(up *upstream, pollArrives bool) {
+	mayArrive := pollArrives
 	for _, r := range up.runs.all() {
 		mayArrive = mayArrive || r.mayStillStart()
 	}
--- a/schedule/lease_test.go
+++ b/schedule/lease_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,6 +132,12 @@
 // executed a poll with a deadline on the earlier one's clock, and ran its tasks on while they were started elsewhere (TWICE,
 // TestHistoriesKeepTheRules).
 func TestLeaseAllowsForPollOfEarlierIncarnation(t *testing.T) {
+	for _, entryFirst := range []bool{true, false} {
+		t.Run(fmt.Sprint("entry first ", entryFirst), func(t *testing.T) { checkLeaseAfterRestart(t, entryFirst) })
+	}
+}
+
+func checkLeaseAfterRestart(t *testing.T, entryFirst bool) {
 	is := is.New(t)
 	h := newHarness(t)
 	h.addUpstream("u-1")
@@ -142,7 +149,9 @@
 	is.Equal(len(polls), 1) // in flight
 	restarted := upstreamEntry("u-1", 16000)
 	restarted.StartedMS = 2
-	h.core.SetUpstream(restarted)
+	if entryFirst {
+		h.core.SetUpstream(restarted)
+	}
 	answer := func(poll schedule.Poll) {
 		h.core.HandlePollResult(poll, platform.PollResult{StartedMS: 2, ClockMS: 1000}, nil)
 	}
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -108,7 +108,7 @@
 		return // late response from before a restart
 	}
 	if result.StartedMS != 0 && up.StartedMS != 0 && result.StartedMS > up.StartedMS {
-		c.handleRestart(up, result.StartedMS)
+		c.handleRestart(up, result.StartedMS, up.pollExtends) // the new incarnation has carried out the poll
 	}
 	if result.StartedMS != 0 {
 		up.StartedMS = result.StartedMS
