--- a/schedule/drains.go
+++ b/schedule/drains.go
@@ -118,13 +118,13 @@
 		}
 		usable++
 		capacity = capacity.Add(other.Capacity)
-		used = used.Add(other.longRunningResources())
+		used = used.Add(other.usedLongRunning)
 	}
 	if usable <= p.minUpstreams() || usable == 1 && p.parts.len() > 0 {
 		return false
 	}
 	left := capacity.Sub(up.Capacity)
-	return up.longRunningTasks() == 0 || float64(left.MilliCPU) >= (1+headroom)*float64(used.MilliCPU) &&
+	return up.longRunning == 0 || float64(left.MilliCPU) >= (1+headroom)*float64(used.MilliCPU) &&
 		float64(left.MemoryMB) >= (1+headroom)*float64(used.MemoryMB)
 }
 
--- a/schedule/movable.go
+++ b/schedule/movable.go
@@ -133,7 +133,7 @@
 	}
 	var found []*upstream
 	for _, up := range d.pool.byID {
-		if up.runs.len() > 0 && up.longRunningTasks() == 0 && c.mayLeave(up) {
+		if up.runs.len() > 0 && up.longRunning == 0 && c.mayLeave(up) {
 			found = append(found, up)
 		}
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -162,7 +162,7 @@
 // not end.
 func (c *Core) mayHold(p *part, up *upstream) bool {
 	reserved := p.step.ReservedResources()
-	return reserved.Fits(up.Capacity.Sub(up.longRunningResources())) && c.admits(p, up) && up.health.allowsStart(c.now) &&
+	return reserved.Fits(up.Capacity.Sub(up.usedLongRunning)) && c.admits(p, up) && up.health.allowsStart(c.now) &&
 		(p.step.MaxPerUpstream == 0 || p.perUpstream[up.ID] < p.step.MaxPerUpstream)
 }
 
@@ -528,34 +528,12 @@
 	if p.step.Label == "" && slices.ContainsFunc(c.wantedLabels, func(l string) bool { return slices.Contains(up.Labels, l) }) {
 		score -= wantedLabelPenalty
 	}
-	if p.step.LongRunning && up.longRunningTasks() > 0 {
+	if p.step.LongRunning && up.longRunning > 0 {
 		score += packingBonus
 	}
 	return score - up.health.penalty()
 }
 
-// longRunningResources returns what the long-running tasks on the upstream take.
-func (u *upstream) longRunningResources() job.Resources {
-	var sum job.Resources
-	for _, r := range u.runs.all() {
-		if r.part.step.LongRunning {
-			sum = sum.Add(r.reserved)
-		}
-	}
-	return sum
-}
-
-// longRunningTasks returns the number of long-running tasks on the upstream.
-func (u *upstream) longRunningTasks() int {
-	n := 0
-	for _, r := range u.runs.all() {
-		if r.part.step.LongRunning {
-			n++
-		}
-	}
-	return n
-}
-
 // runsServingTask reports whether a task with a tail latency limit runs on the upstream.
 func (u *upstream) runsServingTask() bool {
 	for _, r := range u.runs.all() {
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -142,6 +142,10 @@
 	t.runs = append(t.runs, r)
 	r.up.runs.set(r.id(), r)
 	r.up.used = r.up.used.Add(r.reserved)
+	if r.part.step.LongRunning {
+		r.up.usedLongRunning = r.up.usedLongRunning.Add(r.reserved)
+		r.up.longRunning++
+	}
 	r.up.requestedCPU += r.part.step.Request.MilliCPU
 	r.part.job.team.used = r.part.job.team.used.Add(r.part.step.Request)
 	r.part.perUpstream[r.up.ID]++
@@ -165,6 +169,10 @@
 	}
 	r.up.endHold(t)
 	r.up.used = r.up.used.Sub(r.reserved)
+	if r.part.step.LongRunning {
+		r.up.usedLongRunning = r.up.usedLongRunning.Sub(r.reserved)
+		r.up.longRunning--
+	}
 	r.up.requestedCPU -= r.part.step.Request.MilliCPU
 	r.part.job.team.used = r.part.job.team.used.Sub(r.part.step.Request)
 	r.part.perUpstream[r.up.ID]--
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -58,8 +58,10 @@
 	ackConfirmed   uint64 // highest end whose acknowledgement was answered
 	pendingAcks    []pendingAck
 
-	runs *orderedMap[job.TaskID, *run]
-	used job.Resources
+	runs            *orderedMap[job.TaskID, *run]
+	used            job.Resources
+	usedLongRunning job.Resources // the part of used that long-running runs take
+	longRunning     int           // number of long-running runs
 	// unknownRuns is the number of runs of unknown jobs in the last response to a poll. The capacity that they take is
 	// not known.
 	unknownRuns int
