--- a/schedule/drains.go
+++ b/schedule/drains.go
@@ -194,7 +194,7 @@
 		switch {
 		case r.state != runRunning:
 		case r.part.step.LongRunning:
-			if c.mayInterrupt(r) && c.hasOtherPlace(r) {
+			if c.mayInterrupt(r) {
 				c.stopRun(r, "upkeep of its machine")
 			}
 		case !mayFinish:
@@ -204,20 +204,6 @@
 	return up.runs.len() == 0
 }
 
-// hasOtherPlace reports whether a run's task fits on another upstream now, or a machine may join its pool for it. Otherwise it
-// would wait beside the room that it has left.
-func (c *Core) hasOtherPlace(r *run) bool {
-	p, pool := r.part, c.pool(r.up.Pool)
-	reserved := p.step.ReservedResources()
-	for _, up := range pool.byID {
-		if up != r.up && c.isUsable(up) && reserved.Fits(up.freeCapacity()) && c.mayHold(p, up) {
-			return true
-		}
-	}
-	s := shortage{label: p.step.Label, perTask: reserved}
-	return c.incomingCPUFor(pool, &s) > 0 || c.movable != nil && c.movable.hasSpare(c, &s)
-}
-
 // stopOnDrainingUpstreams stops long-running tasks on upstreams that are about to leave, as far as their steps' limits
 // on unavailable tasks allow, so that they are started elsewhere.
 func (c *Core) stopOnDrainingUpstreams() {
--- a/schedule/movable.go
+++ b/schedule/movable.go
@@ -61,13 +61,6 @@
 	return ""
 }
 
-// hasSpare reports whether a spare machine matches the shortage.
-func (m *movableMachines) hasSpare(c *Core, s *shortage) bool {
-	return slices.ContainsFunc(m.spare, func(name string) bool {
-		return s.matches(c.machines[name].Labels, c.machines[name].Capacity)
-	})
-}
-
 // takeIdle removes and returns a matching upstream of the pool without runs, or returns nil.
 func (m *movableMachines) takeIdle(p *pool, s *shortage) *upstream {
 	i := slices.IndexFunc(m.idle[p], func(up *upstream) bool { return s.matches(up.Labels, up.Capacity) })
