schedule: an answer from before a restart does not bring back the old clock; trials in quarantine are not dropped

TestLateStartAnswerDoesNotLeadToTwoRuns and ...DoesNotBringBackTheOldClock failed before. A clock that was read by a run from before the restart is now void. - The start of a long-running task that is the trial of an upstream in quarantine was dropped once when its place had been stored.

--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -183,7 +183,7 @@
 		up.runs.set(r.id(), r)
 		c.stopRun(r, "its upstream has started anew")
 	}
-	up.StartedMS = startedMS
+	up.StartedMS, up.restartedAt = startedMS, c.now
 	up.lastHandledEnd, up.ackable, up.ackConfirmed, up.pendingAcks = 0, 0, 0, nil
 	// An upstream that this owner has not fenced yet may have restarted before an earlier owner started tasks there.
 	up.reconciled = up.reconciled || up.fenced
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -112,7 +112,7 @@
 		case r.detached:
 		case r.task().placedBatch > c.durableBatch:
 			waiting = append(waiting, r)
-		case !c.isUsable(r.up) || (r.part.job.Queue.NeedsAdvice && c.ticketFor(r.part, r.up) == ""):
+		case !c.mayStartPlanned(r) || (r.part.job.Queue.NeedsAdvice && c.ticketFor(r.part, r.up) == ""):
 			c.detach(r)
 			c.requeue(r, "its upstream is no longer usable", "")
 		case r.up.isOverCapacity():
@@ -126,6 +126,15 @@
 	c.plannedRuns = waiting
 }
 
+// mayStartPlanned reports whether the upstream of a planned run still takes it. A long-running task may be planned as the trial
+// of an upstream in quarantine.
+func (c *Core) mayStartPlanned(r *run) bool {
+	if r.part.step.LongRunning {
+		return c.isReady(r.up) && !r.up.released
+	}
+	return c.isUsable(r.up)
+}
+
 func (c *Core) sendStart(r *run, ticket string) {
 	r.commandInFlight = true
 	r.state = runStarting
@@ -262,14 +271,15 @@
 }
 
 // commandReturned records that a command for a run is no longer in flight, whether or not it was answered, and returns
-// the run if it is still known. The clock of another instance at the address is not the upstream's.
+// the run if it is still known. The clock of another instance at the address is not the upstream's, and that of an earlier
+// incarnation is void.
 func (c *Core) commandReturned(target platform.Target, id job.TaskID, attempt uint64, clockMS int64, err error) *run {
 	r := c.findRun(target, id, attempt)
 	if r != nil {
 		r.commandInFlight = false
 		r.pollSeqAtReturn = r.up.pollSeq
 		var rejected *platform.RejectedError
-		if !errors.As(err, &rejected) || rejected.Reason != platform.RejectedOtherInstance {
+		if r.started >= r.up.restartedAt && (!errors.As(err, &rejected) || rejected.Reason != platform.RejectedOtherInstance) {
 			r.up.readClock(clockMS, c.now)
 		}
 	}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -24,8 +24,9 @@
 	earlierLeaseEnd time.Duration
 	fenced          bool // it has answered a poll with this owner's token
 	fencedAt        time.Duration
-	reached         bool // it, or an earlier incarnation, has answered a poll of this owner
-	reconciled      bool // the runs that an earlier owner may have started there are known or have ended
+	reached         bool          // it, or an earlier incarnation, has answered a poll of this owner
+	restartedAt     time.Duration // when this owner noticed its last restart; 0: none
+	reconciled      bool          // the runs that an earlier owner may have started there are known or have ended
 
 	cordoned     bool // excluded from placement because of its machine's upkeep or move
 	released     bool // excluded from placement so that its machine can move to another pool
