--- a/schedule/health.go
+++ b/schedule/health.go
@@ -13,8 +13,10 @@
 	failuresToQuarantine = 3
 	baseQuarantine       = 1500 * time.Millisecond
 	maxQuarantine        = 12 * time.Second
-	suspensionTime       = 400 * time.Millisecond // after a command that was rejected or could not be sent
-	failurePenalty       = 0.3                    // subtracted from the placement score for each consecutive failure
+	// failuresOfTask is the number of failures after which a long-running task is rather at fault than its upstream.
+	failuresOfTask = 3
+	suspensionTime = 400 * time.Millisecond // after a command that was rejected or could not be sent
+	failurePenalty = 0.3                    // subtracted from the placement score for each consecutive failure
 	// trialTime is how long after a quarantine the next task waits for the end of the one before. A long-running task that
 	// is at work this long after its start counts as a success.
 	trialTime = 2 * time.Second
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -109,7 +109,7 @@
 			return
 		}
 		if pl.pool.has(candidate.part) && !candidate.part.step.Gang {
-			c.placeTasks(candidate.part, pl.usable, trial)
+			c.placeTasks(candidate.part, trial, trial)
 		}
 	}
 }
