--- a/schedule/movable.go
+++ b/schedule/movable.go
@@ -97,7 +97,7 @@
 		lacksMachines[d.pool.name] = d.capacity < min(d.target, d.need[tierLongRunning])
 	}
 	for _, up := range c.movable.released {
-		if lacking <= 0 || lacksMachines[up.Pool] {
+		if lacking <= 0 || lacksMachines[up.Pool] || c.isAwaited(up) {
 			up.released = false
 			c.Log("release ended", "upstream", up.ID, "pool", up.Pool)
 			continue
@@ -110,6 +110,9 @@
 			if lacking <= 0 || donor.excess() <= 0 {
 				break
 			}
+			if c.isAwaited(up) {
+				continue
+			}
 			up.released = true
 			lacking -= up.Capacity.MilliCPU
 			donor.capacity -= up.Capacity.MilliCPU
@@ -119,6 +122,19 @@
 	}
 }
 
+// isAwaited reports whether a starving long-running task of the upstream's own pool would fit there.
+func (c *Core) isAwaited(up *upstream) bool {
+	for p := range c.pool(up.Pool).parts.all() {
+		if !p.step.LongRunning || !p.step.ReservedResources().Fits(up.freeCapacity()) || !c.mayHold(p, up) {
+			continue
+		}
+		if _, starving := c.countWaitingTasks(p); starving {
+			return true
+		}
+	}
+	return false
+}
+
 // leastBusy returns the pool's upstreams that can be released, least used first. Long-running tasks keep their places.
 func (c *Core) leastBusy(d *poolDemand) []*upstream {
 	if d.excess() <= 0 {
