--- a/schedule/tickets.go
+++ b/schedule/tickets.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"citrongauge.example/citrongauge/job"
@@ -13,7 +15,7 @@
 	requestedAt time.Duration
 	validUntil  time.Duration
 	requesting  bool
-	asked       map[string]bool // the upstreams that the last request named
+	asked       map[string]bool // the upstreams that requests have named, in turn
 }
 
 const (
@@ -86,25 +88,36 @@
 	return other
 }
 
-// requestTickets requests tickets for upstreams on which the part's tasks fit now, and then for others on which they can.
+// requestTickets requests tickets for upstreams on which the part's tasks fit now, first those that no request has named, and
+// then for others on which they can fit.
 func (c *Core) requestTickets(p *part, pool *pool) {
+	last := p.tickets
+	if last == nil {
+		last = &tickets{}
+	}
 	reserved := p.step.ReservedResources()
-	var open, full []string
+	var open, asked, full []string
 	for _, up := range c.usable(pool) {
 		switch {
-		case reserved.Fits(up.freeCapacity()):
-			open = append(open, up.ID)
-		case reserved.Fits(up.Capacity):
+		case !reserved.Fits(up.Capacity):
+		case !reserved.Fits(up.freeCapacity()):
 			full = append(full, up.ID)
+		case last.asked[up.ID]:
+			asked = append(asked, up.ID)
+		default:
+			open = append(open, up.ID)
 		}
 	}
-	names := append(open, full...)
+	names := slices.Concat(open, asked, full)
 	names = names[:min(len(names), maxAdviceUpstreams)]
 	if len(names) == 0 {
 		return
 	}
 	timing := c.queues[p.job.Queue.Name].Advice
-	p.tickets = &tickets{requesting: true, requestedAt: c.now, asked: map[string]bool{}}
+	p.tickets = &tickets{requesting: true, requestedAt: c.now, byUpstream: last.byUpstream, validUntil: last.validUntil, asked: map[string]bool{}}
+	if len(open) > len(names) {
+		maps.Copy(p.tickets.asked, last.asked) // the next request names others
+	}
 	for _, name := range names {
 		p.tickets.asked[name] = true
 	}
