--- a/schedule/place.go
+++ b/schedule/place.go
@@ -100,80 +100,6 @@
 	}
 }
 
-// placeOnTrial places starving long-running tasks that have found no room on upstreams in quarantine: a failure costs such a
-// task nothing but the attempt.
-func (pl *placement) placeOnTrial(c *Core) {
-	trial := c.trialUpstreams(pl.pool)
-	for _, candidate := range pl.pool.waiting.list {
-		if !candidate.starving || len(trial) == 0 {
-			return
-		}
-		if pl.pool.has(candidate.part) && !candidate.part.step.Gang {
-			c.placeTasks(candidate.part, trial, trial)
-		}
-	}
-}
-
-// trialUpstreams returns the pool's upstreams that have been in quarantine for longer than the first one lasts.
-func (c *Core) trialUpstreams(p *pool) []*upstream {
-	var found []*upstream
-	for _, up := range p.byID {
-		mayTry := up.health.quarantines > 0 && c.now >= up.health.quarantinedAt+baseQuarantine
-		if mayTry && up.health.isExcluded(c.now) && !up.released && c.isReady(up) {
-			found = append(found, up)
-		}
-	}
-	return found
-}
-
-// reserve keeps upstreams for the starving parts, once all of them have taken the room that there is: none of them waits for
-// room that is kept for another one.
-func (pl *placement) reserve(c *Core) {
-	for _, part := range pl.starving {
-		if pl.pool.has(part) {
-			pl.room = c.reserveFor(part, pl.room)
-		}
-	}
-}
-
-// reserveFor returns the upstreams with room without those that the part's waiting tasks need next: for each task the
-// upstream that lacks least. Otherwise smaller tasks would take all capacity as it becomes free.
-func (c *Core) reserveFor(p *part, room []*upstream) []*upstream {
-	if !p.job.team.allows(p.step.Request) {
-		return room
-	}
-	waiting, _ := c.countWaitingTasks(p)
-	for range waiting {
-		best := -1
-		for i, up := range room {
-			if c.mayHold(p, up) && (best < 0 || p.lack(up) < p.lack(room[best])) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return room
-		}
-		room = slices.Delete(room, best, best+1)
-	}
-	return room
-}
-
-// mayHold reports whether a task of the part may run on the upstream once other runs there have ended. Long-running tasks do
-// not end.
-func (c *Core) mayHold(p *part, up *upstream) bool {
-	reserved := p.step.ReservedResources()
-	return reserved.Fits(up.Capacity.Sub(up.usedLongRunning)) && c.admits(p, up) && up.health.allowsStart(c.now) &&
-		(p.step.MaxPerUpstream == 0 || p.perUpstream[up.ID] < p.step.MaxPerUpstream)
-}
-
-// lack returns the largest share of the upstream's capacity that a task of the part lacks there.
-func (p *part) lack(up *upstream) float64 {
-	missing := p.step.ReservedResources().Sub(up.freeCapacity())
-	share := func(missing, capacity int64) float64 { return float64(missing) / float64(max(capacity, 1)) }
-	return max(share(missing.MilliCPU, up.Capacity.MilliCPU), share(missing.MemoryMB, up.Capacity.MemoryMB),
-		share(missing.GPU, up.Capacity.GPU))
-}
-
 func (p *part) hasWaiting(now time.Duration) bool {
 	for i := range p.tasks {
 		if p.tasks[i].isWaiting(now) {
@@ -469,12 +395,6 @@
 	return best
 }
 
-// mayStartBesideTrial reports whether a long-running task need not wait for a trial: it starves, and the failures are rather the
-// fault of tasks than of the upstream.
-func (c *Core) mayStartBesideTrial(p *part, t *task, up *upstream) bool {
-	return p.step.LongRunning && p.isStarving(t, c.now) && c.mostQuarantined(up)
-}
-
 // mayWaitForRack reports whether a task should rather wait for the rack of its data: for up to the expected duration of the
 // task. A long-running one has no duration, and waits until it starves.
 func (c *Core) mayWaitForRack(p *part, t *task) bool {
