entry, ledger: a key does not show or cancel another team's job

Cause: state and cancel looked at the ID only. Now the job's team must be the key's, unless the job's queue is public; to any other team the job does not exist: 410, code 2308, also to a cancel, which then stores nothing. Not covered: an ID that no job has yet can be cancelled by any team, and a submission under another team's ID is answered as accepted, though nothing is stored.

--- a/entry/server.go
+++ b/entry/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -299,6 +300,15 @@
 	return rejection
 }
 
+// mayUse reports whether the call may show or cancel a job: its key is one of the job's team, or the job's queue is public. To
+// any other team the job does not exist.
+func (c call) mayUse(stored ledger.StoredJob) bool {
+	isPublic := slices.ContainsFunc(c.bundle.Queues, func(queue platform.BundleQueue) bool {
+		return queue.Name == stored.Queue && queue.Public
+	})
+	return isPublic || stored.Team == c.team
+}
+
 func (s *server) state(ctx context.Context, c call) response {
 	id, err := job.ParseID(c.pathSuffix)
 	if err != nil {
@@ -310,6 +320,8 @@
 		return response{outcome: noJob}
 	case err != nil:
 		return s.storeFailed(err)
+	case !c.mayUse(stored):
+		return response{outcome: noJob, logFields: []any{"team", c.team, "job_team", stored.Team}}
 	}
 	return response{outcome: stateReturned, body: platform.EncodePhase(stored.Phase())}
 }
@@ -319,7 +331,7 @@
 	if err != nil {
 		return response{outcome: noJob}
 	}
-	err = s.ledger.Cancel(ctx, id)
+	err = s.ledger.Cancel(ctx, id, c.mayUse)
 	switch {
 	case errors.Is(err, ledger.ErrNoJob):
 		return response{outcome: noJob}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -142,6 +142,8 @@
 // StoredJob is a job's state as stored, without the job itself.
 type StoredJob struct {
 	Created   uint64 // revision at which the job was stored; 0: there is no such job
+	Team      string // that submitted the job
+	Queue     string // name of its queue
 	Cancelled bool
 	Progress  *job.Progress // nil: none is stored
 }
@@ -185,6 +187,11 @@
 		switch item.Key {
 		case jobKey(id):
 			stored.Created = item.CreateRevision
+			var j job.Job
+			if err := job.Decode(item.Value, &j); err != nil {
+				return StoredJob{}, err
+			}
+			stored.Team, stored.Queue = j.Team, j.Queue.Name
 		case cancelKey(id):
 			stored.Cancelled = true
 		case jobKey(id) + progressSuffix:
@@ -209,13 +216,17 @@
 }
 
 // Cancel stores the cancellation of a job. It does not change a job that has ended. If there is no such job it stores the
-// cancellation as well and returns ErrNoJob: the store may still execute a submission of the job, which then fails.
-func (l *Ledger) Cancel(ctx context.Context, id job.ID) error {
+// cancellation as well and returns ErrNoJob: the store may still execute a submission of the job, which then fails. A job that
+// mayCancel refuses is left as it is, and ErrNoJob is returned.
+func (l *Ledger) Cancel(ctx context.Context, id job.ID, mayCancel func(StoredJob) bool) error {
 	for {
 		stored, err := l.read(ctx, id)
 		if err != nil {
 			return err
 		}
+		if stored.Created != 0 && !mayCancel(stored) {
+			return ErrNoJob
+		}
 		if !stored.Cancelled && !stored.hasEnded() {
 			err = l.writeCancellation(ctx, id, stored.Created)
 		}
--- a/testbed/fleet/ledger_test.go
+++ b/testbed/fleet/ledger_test.go
@@ -101,7 +101,7 @@
 	is.True(errors.Is(err, ledger.ErrStaleBundle))
 	_, err = l.Lookup(t.Context(), secondJob.ID)
 	is.True(errors.Is(err, ledger.ErrNoJob))
-	is.NoErr(l.Cancel(t.Context(), j.ID))
+	is.NoErr(l.Cancel(t.Context(), j.ID, anyTeam))
 	view, err := l.Lookup(t.Context(), j.ID)
 	is.NoErr(err)
 	is.Equal(view.Phase(), job.Cancelled)
@@ -119,8 +119,8 @@
 	_, err := l.Submit(ctx, j, 0)
 	is.True(errors.Is(err, platform.ErrOutcomeUnknown))
 	store.SetFaults(fleet.StoreFaults{})
-	is.True(errors.Is(l.Cancel(t.Context(), j.ID), ledger.ErrNoJob))
-	is.True(errors.Is(l.Cancel(t.Context(), j.ID), ledger.ErrNoJob)) // a repeat is answered alike
+	is.True(errors.Is(l.Cancel(t.Context(), j.ID, anyTeam), ledger.ErrNoJob))
+	is.True(errors.Is(l.Cancel(t.Context(), j.ID, anyTeam), ledger.ErrNoJob)) // a repeat is answered alike
 	time.Sleep(time.Second)
 	is.Equal(store.Value(ledger.JobPrefix+string(j.ID)), nil)
 	_, err = l.Lookup(t.Context(), j.ID)
@@ -140,7 +140,7 @@
 		j := &job.Job{ID: job.ID(jobID(n)), Steps: []job.Step{{Count: 1}}}
 		var submitted, cancelled error
 		calls.Go(func() { _, submitted = l.Submit(t.Context(), j, 0) })
-		calls.Go(func() { cancelled = l.Cancel(t.Context(), j.ID) })
+		calls.Go(func() { cancelled = l.Cancel(t.Context(), j.ID, anyTeam) })
 		calls.Wait()
 		stored, err := l.Lookup(t.Context(), j.ID)
 		if errors.Is(cancelled, ledger.ErrNoJob) {
@@ -175,3 +175,5 @@
 	})
 	is.Equal(len(listed), items)
 }
+
+func anyTeam(ledger.StoredJob) bool { return true }
