--- a/schedule/tickets.go
+++ b/schedule/tickets.go
@@ -114,7 +114,9 @@
 		return
 	}
 	timing := c.queues[p.job.Queue.Name].Advice
-	p.tickets = &tickets{requesting: true, requestedAt: c.now, byUpstream: last.byUpstream, validUntil: last.validUntil, asked: map[string]bool{}}
+	p.tickets = &tickets{
+		requesting: true, requestedAt: c.now, byUpstream: last.byUpstream, validUntil: last.validUntil, asked: map[string]bool{},
+	}
 	if len(open) > len(names) {
 		maps.Copy(p.tickets.asked, last.asked) // the next request names others
 	}
