owner, schedule: a new owner counts the leases before it from the end of the earlier ownership

Cause: a new owner knew nothing of the end of the earlier ownership. But a host that follows the owner sees its key go, and an owner stops before its key expires and gives it up only after it has stopped; and an earlier process of the same host ended before this one began. Change: the moment is kept with the generation of the ownership (predecessor), and the core counts inherited leases from it, if no other ownership came between. 'ownership claimed' logs it, and how it is known. Evidence: TestOutageDoesNotProlongTheWaitForALease failed before (no start within 5 s of the claim).

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -79,6 +79,9 @@
 	fitness      float64
 	// last describes the last ownership of this process.
 	last lastOwnership
+	// startedAt is when this process began, by the monotonic clock.
+	startedAt   time.Duration
+	predecessor predecessor
 	// nextHandoverRequest is the earliest time of the next handover request, by the monotonic clock.
 	nextHandoverRequest time.Duration
 }
@@ -99,7 +102,7 @@
 
 // New returns an Owner that is idle until Run is called.
 func New(options Options) *Owner {
-	o := &Owner{Options: options, fitness: fitness(options.Settings.Capacity)}
+	o := &Owner{Options: options, fitness: fitness(options.Settings.Capacity), startedAt: clock.Now()}
 	o.ownerAddress.Store(new(string))
 	o.SetBounds(options.Settings.Bounds)
 	return o
@@ -191,6 +194,9 @@
 	if err != nil {
 		o.Log("unreadable owner record", "revision", item.Revision, "error", err.Error())
 	}
+	if err == nil {
+		o.predecessor.noteKey(item, record, clock.Now())
+	}
 	o.ownerAddress.Store(&record.Address)
 	after := asOf
 	for item.Revision != 0 && ctx.Err() == nil {
@@ -200,6 +206,7 @@
 			return
 		}
 		if len(events) > 0 {
+			o.predecessor.noteEvents(events, clock.Now())
 			return
 		}
 		after = asOf
@@ -230,6 +237,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	o.predecessor.noteKey(item, record, clock.Now())
 	o.ownerAddress.Store(&record.Address)
 	if item.Revision != 0 && record.Host != o.Host {
 		return nil, 0, ledger.ErrOwnedByOther
@@ -271,14 +279,16 @@
 // ended by ctx or by the loss of the lease.
 func (o *Owner) runOwnership(ctx context.Context, ownership *ledger.Ownership, leaseRequested time.Duration) error {
 	defer debug.SetGCPercent(debug.SetGCPercent(ownerGCPercent))
-	o.Log("ownership claimed", "token", ownership.Token, "generation", ownership.Generation)
+	ended, source := o.endOfEarlier(ownership)
+	o.Log("ownership claimed", "token", ownership.Token, "generation", ownership.Generation, "earlier_ended_ms_ago", agoMS(ended),
+		"known_from", source)
 	o.owning.Store(true)
 	o.Observe.OwnershipChanged(true)
 	ownershipCtx, end := context.WithCancelCause(ctx)
 	lease := &leaseKeeper{owner: o, lease: ownership.Lease}
 	lease.extend(leaseRequested)
 	go lease.run(ownershipCtx, end)
-	s := newSession(o, ownership, lease)
+	s := newSession(o, ownership, lease, ended)
 	o.ownerAddress.Store(&o.Address)
 	s.run(ownershipCtx)
 	o.last = lastOwnership{next: ownership.Generation + 1, leaseEnds: s.core.LeaseEnds()}
--- a/owner/session.go
+++ b/owner/session.go
@@ -81,13 +81,14 @@
 	listFailed       bool          // the last read of the machine list failed
 }
 
-func newSession(o *Owner, ownership *ledger.Ownership, lease *leaseKeeper) *session {
+// newSession returns the session of an ownership. earlierEnded is a time by which the one before had ended; 0: not known.
+func newSession(o *Owner, ownership *ledger.Ownership, lease *leaseKeeper, earlierEnded time.Duration) *session {
 	s := &session{Owner: o, ownership: ownership, lease: lease, events: make(chan func(*session), eventBuffer)}
 	bounds := *o.bounds.Load()
 	s.claimedAt = clock.Now()
 	s.core = schedule.New(schedule.Options{
 		Bounds: bounds, Lease: min(upstreamLease, bounds.MaxLease),
-		Generation: ownership.Generation, Token: ownership.Token, Claimed: s.claimedAt, Log: o.Log,
+		Generation: ownership.Generation, Token: ownership.Token, Claimed: s.claimedAt, EarlierEnded: earlierEnded, Log: o.Log,
 		KnownLeaseEnds: o.last.knownLeaseEnds(ownership.Generation),
 	})
 	s.core.Observe = o.Observe.JobEnded
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -43,8 +43,8 @@
 	// maxFencing is the largest number of polls in flight to upstreams that this owner has not reached yet. Each of them
 	// also opens a connection; after a takeover of a large fleet all of them at once would time out on the owner's side.
 	maxFencing = 128
-	// takeoverMargin is added to the lease to bound how long after the claim an upstream that has not been reached
-	// may still run an earlier owner's tasks.
+	// takeoverMargin is added to the lease to bound how long after the end of an ownership an upstream that has not been
+	// reached may still run that owner's tasks.
 	takeoverMargin = 300 * time.Millisecond
 )
 
@@ -55,6 +55,9 @@
 	Generation uint64        // number of ownerships before this one
 	Token      uint64        // fencing token
 	Claimed    time.Duration // when the ownership was claimed, on the caller's monotonic clock
+	// EarlierEnded is a time by which the ownership before this one had ended, on the caller's monotonic clock: no lease was granted
+	// after it. 0: not known, the time of the claim.
+	EarlierEnded time.Duration
 	// KnownLeaseEnds is what LeaseEnds of the previous ownership's core returned, if this process held that ownership too;
 	// otherwise nil.
 	KnownLeaseEnds map[string]time.Duration
@@ -165,6 +168,9 @@
 
 // New returns a core without jobs and upstreams.
 func New(options Options) *Core {
+	if options.EarlierEnded == 0 {
+		options.EarlierEnded = options.Claimed
+	}
 	return &Core{
 		Options: options,
 		jobs:    newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -123,7 +123,7 @@
 	if end, known := c.KnownLeaseEnds[id]; known {
 		return end
 	}
-	return c.Claimed + c.inheritedLease()
+	return c.inheritedLeaseEnd()
 }
 
 // InheritOldUpstream adds an upstream as InheritUpstream does, and has it stored again.
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -28,6 +28,8 @@
 	core       *schedule.Core
 	now        time.Duration
 	generation uint64 // number of claims
+	// earlierEnded is when the next claim takes the ownership before it for ended; 0: at the claim.
+	earlierEnded time.Duration
 }
 
 func newHarness(t *testing.T) *harness {
@@ -41,9 +43,9 @@
 	h.generation++
 	h.core = schedule.New(schedule.Options{
 		Bounds: testBounds, Lease: testLease, Generation: h.generation - 1, Token: 6 + h.generation, Claimed: h.now,
-		KnownLeaseEnds: knownLeaseEnds,
-		Log:            func(event string, fields ...any) { h.t.Log(append([]any{h.now, event}, fields...)...) },
-		Observe:        func(string, string, string, time.Duration) {},
+		KnownLeaseEnds: knownLeaseEnds, EarlierEnded: h.earlierEnded,
+		Log:     func(event string, fields ...any) { h.t.Log(append([]any{h.now, event}, fields...)...) },
+		Observe: func(string, string, string, time.Duration) {},
 	})
 	h.advance(0)
 	h.core.SetBundle(&platform.Bundle{
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -135,10 +135,15 @@
 	if sim.owner != nil && rapid.Bool().Draw(sim.t, "same process") {
 		known = sim.owner.core.LeaseEnds()
 	}
+	var ended time.Duration
+	if sim.owner != nil && rapid.Bool().Draw(sim.t, "end seen") {
+		ended = min(sim.owner.leaseEnd, sim.now)
+	}
 	o.core = schedule.New(schedule.Options{
 		Bounds: testBounds, Lease: simLease, Generation: generation, Token: o.token, Claimed: sim.now, KnownLeaseEnds: known,
-		Log:     sim.log,
-		Observe: func(string, string, string, time.Duration) {},
+		EarlierEnded: ended,
+		Log:          sim.log,
+		Observe:      func(string, string, string, time.Duration) {},
 	})
 	o.core.SetTime(sim.now, sim.now.Milliseconds())
 	o.core.SetBundle(&platform.Bundle{
--- a/schedule/unreached_test.go
+++ b/schedule/unreached_test.go
@@ -129,3 +129,22 @@
 	is.True(reached)
 	is.Equal(h.core.Stats().Requeued, 0)
 }
+
+// Guards against a long-running task that waits for the lease on its upstream, which is gone, from the claim of the new owner,
+// although the ownership before it ended long ago: an outage of the store kept all hosts from a claim until 2 s after its end.
+func TestOutageDoesNotProlongTheWaitForALease(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.earlierEnded = h.now - 8*time.Second
+	bound := h.now + 5*time.Second // 7 s after the end of the outage
+	started := false
+	h.runUnreached(schedule.UnreachedUpstreams{}, bound-h.now, func() { started = true })
+	is.True(started)
+}
+
+// Guards against a start beside a run whose lease the ownership before extended shortly before its end.
+func TestLeaseOfTheEarlierOwnershipIsWaitedForFromItsEnd(t *testing.T) {
+	h := newHarness(t)
+	h.earlierEnded = h.now - time.Second
+	h.runUnreached(schedule.UnreachedUpstreams{}, testLease-time.Second, func() { t.Fatal("started before the lease has ended") })
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -163,7 +163,8 @@
 	for _, up := range c.upstreams.all() {
 		if !up.reconciled && c.earlierLeaseExpired(up) {
 			up.reconciled = true
-			c.Log("lease of an earlier owner has expired", "upstream", up.ID, "claimed_ms_ago", (c.now - c.Claimed).Milliseconds())
+			c.Log("lease of an earlier owner has expired", "upstream", up.ID, "claimed_ms_ago", (c.now - c.Claimed).Milliseconds(),
+				"earlier_owner_ended_ms_ago", (c.now - c.EarlierEnded).Milliseconds())
 			c.countUnseenCrash(up)
 		}
 		if up.failedPolls > 0 {
@@ -218,7 +219,13 @@
 	return ends
 }
 
-// inheritedLease returns how long after the claim an earlier owner's runs may continue unseen.
+// inheritedLeaseEnd returns the time by which the leases that earlier owners granted have expired, as far as only the end of
+// the last ownership is known.
+func (c *Core) inheritedLeaseEnd() time.Duration {
+	return c.EarlierEnded + c.inheritedLease()
+}
+
+// inheritedLease returns how long after the end of an ownership its runs may continue unseen.
 func (c *Core) inheritedLease() time.Duration {
 	return time.Duration(float64(c.Lease)/minClockRate) + takeoverMargin
 }
