leases, owner: a new owner asks the one before it how long its leases last

Cause: only the process of the former owner knows when its leases end, and was not asked; it used that itself if it claimed again.

--- a/entry/host.go
+++ b/entry/host.go
@@ -18,6 +18,7 @@
 
 	"citrongauge.example/citrongauge/announce"
 	"citrongauge.example/citrongauge/eventlog"
+	"citrongauge.example/citrongauge/leases"
 	"citrongauge.example/citrongauge/ledger"
 	"citrongauge.example/citrongauge/operator"
 	"citrongauge.example/citrongauge/owner"
@@ -169,6 +170,7 @@
 	internal.Handle("/metrics", promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
 	internal.HandleFunc(explainPath+"{job}", h.explain)
 	internal.Handle(announce.Path, announce.Handler(h.owner.HandleAnnouncement, h.logEvent))
+	internal.Handle(leases.Path, leases.Handler(h.owner.ReportLeases, h.logEvent))
 	listeners := []struct {
 		address string
 		handler http.Handler
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -77,8 +77,8 @@
 	ownerAddress atomic.Pointer[string] // address of the owner, as last read
 	bounds       atomic.Pointer[platform.Bounds]
 	fitness      float64
-	// last describes the last ownership of this process.
-	last lastOwnership
+	// last describes the last ownership of this process; nil: there was none.
+	last atomic.Pointer[lastOwnership]
 	// startedAt is when this process began, by the monotonic clock.
 	startedAt   time.Duration
 	predecessor predecessor
@@ -86,7 +86,7 @@
 	nextHandoverRequest time.Duration
 }
 
-// lastOwnership is what a later ownership of the same process can rely on. It is used only by the goroutine of Run.
+// lastOwnership is what the next ownership can rely on, of this process or of another one that asks for it. It is not changed.
 type lastOwnership struct {
 	next      uint64                   // generation of the ownership that follows it
 	leaseEnds map[string]time.Duration // by upstream, see schedule.Core.LeaseEnds
@@ -94,7 +94,7 @@
 
 // knownLeaseEnds returns the lease ends of the last ownership if no other one came between; otherwise nil.
 func (l *lastOwnership) knownLeaseEnds(generation uint64) map[string]time.Duration {
-	if l.next != generation {
+	if l == nil || l.next != generation {
 		return nil
 	}
 	return l.leaseEnds
@@ -289,9 +289,10 @@
 	lease.extend(leaseRequested)
 	go lease.run(ownershipCtx, end)
 	s := newSession(o, ownership, lease, ended)
+	s.earlier = o.predecessor.recordBefore(ownership)
 	o.ownerAddress.Store(&o.Address)
 	s.run(ownershipCtx)
-	o.last = lastOwnership{next: ownership.Generation + 1, leaseEnds: s.core.LeaseEnds()}
+	o.last.Store(&lastOwnership{next: ownership.Generation + 1, leaseEnds: s.core.LeaseEnds()})
 	o.current.Store(nil)
 	cause := context.Cause(ownershipCtx)
 	end(nil)
--- a/owner/predecessor.go
+++ b/owner/predecessor.go
@@ -48,16 +48,21 @@
 	}
 }
 
+// recordBefore returns the record of the ownership before the given one; empty: it has not been seen.
+func (p *predecessor) recordBefore(ownership *ledger.Ownership) ledger.OwnerRecord {
+	if !p.seen || p.record.Generation+1 != ownership.Generation {
+		return ledger.OwnerRecord{}
+	}
+	return p.record
+}
+
 // endOfEarlier returns a time by which the ownership before the given one had ended, and how that is known; 0: it is not. An
 // owner on the same host whose key was replaced was an earlier process, which ended before this one began.
 func (o *Owner) endOfEarlier(ownership *ledger.Ownership) (ended time.Duration, source string) {
-	if !o.predecessor.seen || o.predecessor.record.Generation+1 != ownership.Generation {
-		return 0, "claim"
-	}
-	switch {
-	case o.predecessor.record.Process == o.Process:
-		return 0, "claim" // see lastOwnership
-	case o.predecessor.record.Host == o.Host:
+	switch record := o.predecessor.recordBefore(ownership); {
+	case record.Process == "", record.Process == o.Process:
+		return 0, "claim" // see lastOwnership for those of this process
+	case record.Host == o.Host:
 		return o.startedAt, "start of this process"
 	case o.predecessor.endedAt > 0:
 		return o.predecessor.endedAt, "owner's key"
--- a/owner/session.go
+++ b/owner/session.go
@@ -62,6 +62,7 @@
 	*Owner
 	ownership *ledger.Ownership
 	lease     *leaseKeeper
+	earlier   ledger.OwnerRecord // of the ownership before; empty: not known
 	core      *schedule.Core
 	events    chan func(*session)
 	failure   error
@@ -89,7 +90,7 @@
 	s.core = schedule.New(schedule.Options{
 		Bounds: bounds, Lease: min(upstreamLease, bounds.MaxLease),
 		Generation: ownership.Generation, Token: ownership.Token, Claimed: s.claimedAt, EarlierEnded: earlierEnded, Log: o.Log,
-		KnownLeaseEnds: o.last.knownLeaseEnds(ownership.Generation),
+		KnownLeaseEnds: o.last.Load().knownLeaseEnds(ownership.Generation),
 	})
 	s.core.Observe = o.Observe.JobEnded
 	return s
@@ -103,6 +104,9 @@
 		s.failure = errors.Wrap(err, "load")
 		return
 	}
+	if s.earlier.Address != "" && s.earlier.Process != s.Process {
+		go s.fetchEarlierLeases(ctx)
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -123,7 +123,7 @@
 	if end, known := c.KnownLeaseEnds[id]; known {
 		return end
 	}
-	return c.inheritedLeaseEnd()
+	return c.InheritedLeaseEnd()
 }
 
 // InheritOldUpstream adds an upstream as InheritUpstream does, and has it stored again.
--- a/schedule/unreached.go
+++ b/schedule/unreached.go
@@ -97,3 +97,16 @@
 	}
 	return record
 }
+
+// InheritLeases applies what the previous owner has said about the leases that it granted, in milliseconds from now.
+func (c *Core) InheritLeases(leftMS map[string]int64) {
+	shortened := 0
+	for id, left := range leftMS {
+		end := c.now + time.Duration(left)*time.Millisecond
+		if up := c.upstreams.get(id); up != nil && up.isUnreached() && end < up.earlierLeaseEnd {
+			up.earlierLeaseEnd = end
+			shortened++
+		}
+	}
+	c.Log("leases of the earlier owner known", "upstreams", len(leftMS), "shortened", shortened, "claimed_ms_ago", (c.now - c.Claimed).Milliseconds())
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -219,9 +219,9 @@
 	return ends
 }
 
-// inheritedLeaseEnd returns the time by which the leases that earlier owners granted have expired, as far as only the end of
-// the last ownership is known.
-func (c *Core) inheritedLeaseEnd() time.Duration {
+// InheritedLeaseEnd returns the time by which the leases that earlier owners granted have expired, as far as only the end of
+// the last ownership is known. It does not change, and may be called from any goroutine.
+func (c *Core) InheritedLeaseEnd() time.Duration {
 	return c.EarlierEnded + c.inheritedLease()
 }
 
