schedule: a machine whose drain keeps a long-running task away is given back to its pool

Cause: a drain stops as many tasks as the step allows, and waits for the rest; if the stopped ones fit nowhere else, neither goes on. Change: after 4 s of such a wait the drain ends, the tasks run on the machine again, and it is drained again 10 s later.

--- a/schedule/drains.go
+++ b/schedule/drains.go
@@ -20,6 +20,11 @@
 	drainTimeout = 1500 * time.Millisecond
 	// stuckDrain is the age from which a drain does not count against the pace of its wave.
 	stuckDrain = 2 * time.Second
+	// giveBackAfter is how long a long-running task may wait for room that only a machine which is being drained has. Users
+	// expect it to run again within 9 s.
+	giveBackAfter = 4 * time.Second
+	// giveBackPause is how long a machine that was given back to its pool is not drained again.
+	giveBackPause = 10 * time.Second
 	// stopMargin is added to the platform's longest duration of a stop.
 	stopMargin = 100 * time.Millisecond
 )
@@ -204,6 +209,41 @@
 	return up.runs.len() == 0
 }
 
+// keepsTaskWaiting reports whether a long-running task of the pool has waited for giveBackAfter although the drained upstream has
+// room for it: no other upstream takes it.
+func (c *Core) keepsTaskWaiting(up *upstream) bool {
+	for _, candidate := range c.pool(up.Pool).waiting.list {
+		if !candidate.starving {
+			return false
+		}
+		if c.hasWaitedFor(candidate.part, giveBackAfter) && c.hasPlace(candidate.part, up) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasWaitedFor reports whether a task of the part that may start has waited for longer than d.
+func (c *Core) hasWaitedFor(p *part, d time.Duration) bool {
+	return slices.ContainsFunc(p.tasks, func(t task) bool {
+		return c.mayStart(p, &t) && c.now > max(p.releasedAt, t.requeuedAt, t.notBefore)+d
+	})
+}
+
+// hasPlace reports whether the upstream has room for another task of the part.
+func (c *Core) hasPlace(p *part, up *upstream) bool {
+	return p.job.team.allows(p.step.Request) && p.step.ReservedResources().Fits(up.freeCapacity()) && c.admits(p, up) &&
+		(p.step.MaxPerUpstream == 0 || p.perUpstream[up.ID] < p.step.MaxPerUpstream)
+}
+
+// giveBack ends the drain of a machine for now.
+func (c *Core) giveBack(w *wave, m *waveMachine, up *upstream) {
+	m.state, m.retryAt = machineWaiting, c.now+giveBackPause
+	up.cordoned = false
+	c.Log("drain ended: a long-running task has no other place", "wave", w.Number, "machine", m.name, "upstream", up.ID,
+		"drained_for_ms", (c.now - m.since).Milliseconds())
+}
+
 // stopOnDrainingUpstreams stops long-running tasks on upstreams that are about to leave, as far as their steps' limits
 // on unavailable tasks allow, so that they are started elsewhere.
 func (c *Core) stopOnDrainingUpstreams() {
--- a/schedule/lasting_test.go
+++ b/schedule/lasting_test.go
@@ -234,6 +234,21 @@
 	is.Equal(f.runsOf(id), 8)
 }
 
+// Guards against a wave that does not drain a machine again which it gave back since tasks could start nowhere else.
+func TestMachineThatWasGivenBackIsDrainedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2")...)
+	step := lasting(8, 4000)
+	step.MaxUnavailable = 2
+	id := f.addJob(1, step)
+	f.live(time.Second)
+	f.core.SetWaves(testWave(1, "m-u-1"), nil)
+	f.listMachines("u-1", "u-2")
+	is.True(!f.liveWithUpkeep(mostWait))
+	f.core.Cancel(id)
+	is.True(f.liveWithUpkeep(30 * time.Second))
+}
+
 // Guards against tickets for the upstreams that an owner reached first, which are full, that keep a task from all others
 // for as long as they are valid.
 func TestTicketsForFullUpstreamsDoNotKeepTaskWaiting(t *testing.T) {
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -238,7 +238,14 @@
 		up := c.upstreamOf(m.name)
 		if up != nil {
 			up.cordoned = true
-			if !up.fenced || up.failedPolls > 0 || !c.drainUpstream(up, m) {
+			if !up.fenced || up.failedPolls > 0 {
+				return
+			}
+			if !c.inheritedCommands[m.name] && c.keepsTaskWaiting(up) {
+				c.giveBack(w, m, up)
+				return
+			}
+			if !c.drainUpstream(up, m) {
 				return
 			}
 		}
