testbed/ports: a process that is being started does not hold a port that was found free

Cause: the listener that shows a port to be free is inherited by a process that another test starts at that moment, until it executes its program. Change: no process is started meanwhile (syscall.ForkLock).

--- a/testbed/ports/ports.go
+++ b/testbed/ports/ports.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 
 	"github.com/go-faster/errors"
 )
@@ -42,17 +43,21 @@
 		}
 		port := blocks.next
 		blocks.next++
-		listener, err := listen(port)
-		if err != nil {
-			continue // used by another program
+		if isFree(port) {
+			return port, nil
 		}
-		if err := listener.Close(); err != nil {
-			return 0, err
-		}
-		return port, nil
 	}
 }
 
+// isFree reports whether no program listens on the port. No process may be started meanwhile: until it executes its program, it
+// would hold the port through the listener that it inherits.
+func isFree(port int) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := listen(port)
+	return err == nil && listener.Close() == nil
+}
+
 func reserveBlock() error {
 	for first := firstPort; first+blockSize <= lastPort; first += blockSize {
 		listener, err := listen(first)
--- a/testbed/ports/ports_test.go
+++ b/testbed/ports/ports_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"os/exec"
 	"strconv"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -49,3 +51,37 @@
 		handedOut[port] = true
 	}
 }
+
+// Guards against a port that a process which is being started still holds, since it has inherited the listener that showed the
+// port to be free: a daemon of a test failed to listen on it.
+func TestPortsAreNotHeldByProcessesThatStart(t *testing.T) {
+	is := is.New(t)
+	done := make(chan struct{})
+	var starting sync.WaitGroup
+	for range 8 {
+		starting.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_ = exec.Command("true").Run() // only its start matters
+				}
+			}
+		})
+	}
+	failed := 0
+	for range 1500 {
+		port, err := ports.Free()
+		is.NoErr(err)
+		used, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			failed++
+			continue
+		}
+		is.NoErr(used.Close())
+	}
+	close(done)
+	starting.Wait()
+	is.Equal(failed, 0)
+}
