owner, ledger, schedule: leases on upstreams are bounded by the last renewal of the owner's lease

Cause: until its own lease had ended, an owner extended the leases on upstreams by their full length, also while its renewals failed, so that the expiry of its key said nothing about them. Change: a lease on an upstream ends at most 6 s after the last renewal of the owner's, which its key outlives by 1.5 s; so it ends at most 4.5 s after the key has expired, where a next owner had to allow for 5 s after its claim. The owner stores that it keeps to this (cg/terms), and removes it together with its key if it gives the fleet up, which now is one transaction (Release). Ruled out: connection refused by the owner's host as a proof that its process has ended, since a partition may refuse, too; shorter leases on upstreams, which would end more runs in outages.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -34,6 +34,7 @@
 	JobPrefix      = "cg/job/"
 	OwnerKey       = "cg/owner"
 	chainKey       = "cg/chain"
+	termsKey       = "cg/terms"
 	rosterPrefix   = "cg/roster/"
 	oldRosterKey   = "cg/roster"
 	commandedKey   = "cg/ordered"
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -34,10 +34,13 @@
 // cg/chain, which every claim and every write replaces, so that a write of an earlier owner or a late duplicate of
 // one of its own writes has no effect.
 type Ownership struct {
-	ledger        *Ledger
-	Generation    uint64
-	Token         uint64 // revision of the claim; higher than that of every earlier claim
-	Lease         uint64
+	ledger     *Ledger
+	Generation uint64
+	Token      uint64 // revision of the claim; higher than that of every earlier claim
+	Lease      uint64
+	// EarlierLease is the longest time from the expiry of the key of the ownership before to the end of a lease on an upstream, by the
+	// upstream's clock; 0: it is not known, or the key has not expired.
+	EarlierLease  time.Duration
 	process       string
 	chainRevision uint64 // revision of cg/chain
 	writeNumber   uint64 // number of the last write that was executed
@@ -74,12 +77,19 @@
 		if self.Generation, err = nextGeneration(chain); err != nil {
 			return nil, err
 		}
+		var earlierLease time.Duration
+		if owner.Revision == 0 && self.Generation > 0 {
+			if earlierLease, err = l.readTerms(ctx, self.Generation-1, timeout); err != nil {
+				return nil, err
+			}
+		}
 		revision, err := l.writeClaim(ctx, self, owner.Revision, chain.Revision, lease, timeout)
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
 			return &Ownership{
-				ledger: l, Generation: self.Generation, Token: revision, Lease: lease, process: self.Process, chainRevision: revision,
+				ledger: l, Generation: self.Generation, Token: revision, Lease: lease, EarlierLease: earlierLease, process: self.Process,
+				chainRevision: revision,
 			}, nil
 		case errors.As(err, &conflict), errors.Is(err, platform.ErrOutcomeUnknown):
 			continue // the next read shows whether this claim succeeded
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -279,16 +279,16 @@
 // ended by ctx or by the loss of the lease.
 func (o *Owner) runOwnership(ctx context.Context, ownership *ledger.Ownership, leaseRequested time.Duration) error {
 	defer debug.SetGCPercent(debug.SetGCPercent(ownerGCPercent))
-	ended, source := o.endOfEarlier(ownership)
+	ended, earlierLease, source := o.endOfEarlier(ownership)
 	o.Log("ownership claimed", "token", ownership.Token, "generation", ownership.Generation, "earlier_ended_ms_ago", agoMS(ended),
-		"known_from", source)
+		"known_from", source, "earlier_lease_ms", earlierLease.Milliseconds())
 	o.owning.Store(true)
 	o.Observe.OwnershipChanged(true)
 	ownershipCtx, end := context.WithCancelCause(ctx)
 	lease := &leaseKeeper{owner: o, lease: ownership.Lease}
 	lease.extend(leaseRequested)
 	go lease.run(ownershipCtx, end)
-	s := newSession(o, ownership, lease, ended)
+	s := newSession(o, ownership, lease, ended, earlierLease)
 	s.earlier = o.predecessor.recordBefore(ownership)
 	o.ownerAddress.Store(&o.Address)
 	s.run(ownershipCtx)
@@ -309,12 +309,21 @@
 	// Calls of this session that are still in flight must have no effect once another host owns the fleet. Fencing
 	// ensures this: receivers reject the lower fencing token, and the store rejects writes that rely on an earlier
 	// revision of cg/chain.
-	revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	o.release(context.WithoutCancel(ctx), ownership)
+	return s.failure
+}
+
+// release gives an ownership up that has ended here, so that another host can claim it before its lease has expired.
+func (o *Owner) release(ctx context.Context, ownership *ledger.Ownership) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := o.KV.RevokeLease(revokeCtx, ownership.Lease, callTimeout); err != nil {
+	if err := ownership.Release(ctx, callTimeout); err != nil {
+		o.Log("ownership not given up: its lease has to expire", "token", ownership.Token, "error", err.Error())
+		return
+	}
+	if err := o.KV.RevokeLease(ctx, ownership.Lease, callTimeout); err != nil {
 		o.Log("lease not revoked", "lease", ownership.Lease, "error", err.Error())
 	}
-	return s.failure
 }
 
 // errYielded ends an ownership whose host cannot reach most upstreams.
@@ -350,6 +359,11 @@
 
 func (k *leaseKeeper) valid() bool { return k.remaining() > 0 }
 
+// renewedAt returns when the last renewal that succeeded was sent, by the monotonic clock.
+func (k *leaseKeeper) renewedAt() time.Duration {
+	return time.Duration(k.validUntil.Load()) - k.owner.leaseDuration() + leaseMargin
+}
+
 func (k *leaseKeeper) run(ctx context.Context, end context.CancelCauseFunc) {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
--- a/owner/predecessor.go
+++ b/owner/predecessor.go
@@ -56,18 +56,20 @@
 	return p.record
 }
 
-// endOfEarlier returns a time by which the ownership before the given one had ended, and how that is known; 0: it is not. An
-// owner on the same host whose key was replaced was an earlier process, which ended before this one began.
-func (o *Owner) endOfEarlier(ownership *ledger.Ownership) (ended time.Duration, source string) {
+// endOfEarlier returns a time by which the ownership before the given one had ended, the longest lease on an upstream from then on, and
+// how that is known; 0: it is not. An owner on the same host whose key was replaced was an earlier process, which ended before
+// this one began. A key that has expired outlives the last renewal by its lease, and the leases on upstreams are bounded by that
+// renewal, too.
+func (o *Owner) endOfEarlier(ownership *ledger.Ownership) (ended, longestLease time.Duration, source string) {
 	switch record := o.predecessor.recordBefore(ownership); {
 	case record.Process == "", record.Process == o.Process:
-		return 0, "claim" // see lastOwnership for those of this process
+		return 0, ownership.EarlierLease, "claim" // see lastOwnership for those of this process
 	case record.Host == o.Host:
-		return o.startedAt, "start of this process"
+		return o.startedAt, 0, "start of this process"
 	case o.predecessor.endedAt > 0:
-		return o.predecessor.endedAt, "owner's key"
+		return o.predecessor.endedAt, ownership.EarlierLease, "owner's key"
 	}
-	return 0, "claim"
+	return 0, ownership.EarlierLease, "claim"
 }
 
 // agoMS returns how long ago a time is, in milliseconds; -1 if it is not known.
--- a/owner/predecessor_test.go
+++ b/owner/predecessor_test.go
@@ -51,11 +51,11 @@
 			o := &Owner{Options: Options{Host: "edge-1", Process: "p1"}, startedAt: start}
 			o.predecessor.noteKey(ownerItem(t, c.read), c.read, start+time.Second)
 			o.predecessor.noteEvents(c.events, gone)
-			ended, _ := o.endOfEarlier(&ledger.Ownership{Generation: c.generation})
+			ended, _, _ := o.endOfEarlier(&ledger.Ownership{Generation: c.generation})
 			is.Equal(ended, c.ended)
 			o.predecessor.noteKey(platform.Item{}, ledger.OwnerRecord{}, claimed)
 			if c.ended > 0 {
-				ended, _ = o.endOfEarlier(&ledger.Ownership{Generation: c.generation})
+				ended, _, _ = o.endOfEarlier(&ledger.Ownership{Generation: c.generation})
 				is.Equal(ended, c.ended) // a later read of the missing key changes nothing
 			}
 		})
--- a/owner/session.go
+++ b/owner/session.go
@@ -69,6 +69,7 @@
 
 	storing          bool
 	nextStore        time.Duration // storeInterval after the end of the last write
+	termsStored      bool          // the store has, or is about to have, the terms of this ownership
 	oldRosterStored  bool          // the store still has the roster of an earlier version
 	nextPendingWrite time.Duration
 	lastPending      map[string]int
@@ -82,14 +83,16 @@
 	listFailed       bool          // the last read of the machine list failed
 }
 
-// newSession returns the session of an ownership. earlierEnded is a time by which the one before had ended; 0: not known.
-func newSession(o *Owner, ownership *ledger.Ownership, lease *leaseKeeper, earlierEnded time.Duration) *session {
+// newSession returns the session of an ownership. earlierEnded is a time by which the one before had ended, and earlierLease the
+// longest lease from then on, see schedule.Options.
+func newSession(o *Owner, ownership *ledger.Ownership, lease *leaseKeeper, earlierEnded, earlierLease time.Duration) *session {
 	s := &session{Owner: o, ownership: ownership, lease: lease, events: make(chan func(*session), eventBuffer)}
 	bounds := *o.bounds.Load()
 	s.claimedAt = clock.Now()
 	s.core = schedule.New(schedule.Options{
 		Bounds: bounds, Lease: min(upstreamLease, bounds.MaxLease),
-		Generation: ownership.Generation, Token: ownership.Token, Claimed: s.claimedAt, EarlierEnded: earlierEnded, Log: o.Log,
+		Generation: ownership.Generation, Token: ownership.Token, Claimed: s.claimedAt, EarlierEnded: earlierEnded, EarlierLease: earlierLease,
+		Log:            o.Log,
 		KnownLeaseEnds: o.last.Load().knownLeaseEnds(ownership.Generation),
 	})
 	s.core.Observe = o.Observe.JobEnded
@@ -180,6 +183,7 @@
 		s.failure = errYielded
 		return false
 	}
+	s.core.LimitLeases(s.lease.renewedAt() + upstreamLease + s.leaseBeyondRenewal())
 	for _, call := range s.core.Decide() {
 		s.send(ctx, call)
 	}
--- a/owner/store.go
+++ b/owner/store.go
@@ -22,11 +22,15 @@
 	roster := s.core.TakeRosterChange()
 	pending := s.changedPendingCounts(now)
 	waves := s.core.WaveRecords()
-	if roster.IsEmpty() && pending == nil && len(waves) == 0 && !s.core.HasUnstoredRecords() {
+	terms := s.areTermsDue()
+	if roster.IsEmpty() && pending == nil && len(waves) == 0 && !terms && !s.core.HasUnstoredRecords() {
 		return
 	}
 	batch := s.core.TakeRecords()
 	writes, err := s.batchRecords(batch, roster, pending, waves)
+	if terms && err == nil {
+		writes, err = s.appendTerms(writes)
+	}
 	if err != nil {
 		s.failure = errors.Wrap(err, "encode records")
 		return
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -58,6 +58,8 @@
 	// EarlierEnded is a time by which the ownership before this one had ended, on the caller's monotonic clock: no lease was granted
 	// after it. 0: not known, the time of the claim.
 	EarlierEnded time.Duration
+	// EarlierLease is the longest time from EarlierEnded to the end of a lease on an upstream, by the upstream's clock. 0: Lease.
+	EarlierLease time.Duration
 	// KnownLeaseEnds is what LeaseEnds of the previous ownership's core returned, if this process held that ownership too;
 	// otherwise nil.
 	KnownLeaseEnds map[string]time.Duration
@@ -70,8 +72,10 @@
 // Core holds the state of all jobs and upstreams. It is not safe for concurrent use.
 type Core struct {
 	Options
-	now    time.Duration // monotonic time of the event being handled
-	wallMS int64         // Unix milliseconds of the event being handled
+	now time.Duration // monotonic time of the event being handled
+	// leasesEnd is the latest end of a lease that may be granted now; 0: there is no limit.
+	leasesEnd time.Duration
+	wallMS    int64 // Unix milliseconds of the event being handled
 
 	jobs            *orderedMap[job.ID, *jobState]
 	upstreams       *orderedMap[string, *upstream] // by ID
@@ -171,6 +175,9 @@
 	if options.EarlierEnded == 0 {
 		options.EarlierEnded = options.Claimed
 	}
+	if options.EarlierLease == 0 || options.EarlierLease > options.Lease {
+		options.EarlierLease = options.Lease
+	}
 	return &Core{
 		Options: options,
 		jobs:    newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
@@ -189,6 +196,9 @@
 // SetTime sets the time of the events that follow: monotonic time and Unix milliseconds.
 func (c *Core) SetTime(now time.Duration, wallMS int64) { c.now, c.wallMS = now, wallMS }
 
+// LimitLeases sets the latest end of the leases that are granted from now on.
+func (c *Core) LimitLeases(end time.Duration) { c.leasesEnd = end }
+
 // Superseded reports whether an upstream has seen a higher fencing token than this owner's.
 func (c *Core) Superseded() bool { return c.superseded }
 
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -71,7 +71,11 @@
 
 // extendLease returns the deadline, on the upstream's clock, of a lease that starts now.
 func (c *Core) extendLease(up *upstream) int64 {
-	deadline := up.estimateClock(c.now) + c.Lease.Milliseconds()
+	lease := c.Lease
+	if c.leasesEnd > 0 {
+		lease = min(lease, c.leasesEnd-c.now)
+	}
+	deadline := up.estimateClock(c.now) + lease.Milliseconds()
 	up.maxDeadline = max(up.maxDeadline, deadline)
 	return deadline
 }
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -59,8 +59,11 @@
 	core     *schedule.Core
 	token    uint64
 	leaseEnd time.Duration
-	storing  bool
-	dead     bool
+	// claimedAt is the time of the claim; from simTermsAfter later on its terms are stored.
+	claimedAt   time.Duration
+	termsStored bool
+	storing     bool
+	dead        bool
 }
 
 // pendingCall is a call in flight.
@@ -79,6 +82,9 @@
 	ownerLeaseTTL  = 1500 * time.Millisecond
 	simLease       = 5 * time.Second
 	simUpstreamCPU = 4000
+	// simBeyondRenewal is how much longer than simLease a lease can last after the last renewal of the owner's lease.
+	simBeyondRenewal = time.Second
+	simTermsAfter    = 100 * time.Millisecond // from the claim to the end of the first write
 )
 
 func newSimulation(t *rapid.T, upstreams int) *simulation {
@@ -128,22 +134,25 @@
 // claim creates a new owner, which reads the stored state.
 func (sim *simulation) claim() {
 	sim.revision++
-	o := &simOwner{token: sim.revision, leaseEnd: sim.now + ownerLeaseTTL}
+	o := &simOwner{token: sim.revision, leaseEnd: sim.now + ownerLeaseTTL, claimedAt: sim.now}
 	generation := sim.nextGeneration
 	sim.nextGeneration++
 	var known map[string]time.Duration
 	if sim.owner != nil && rapid.Bool().Draw(sim.t, "same process") {
 		known = sim.owner.core.LeaseEnds()
 	}
-	var ended time.Duration
+	var ended, longestLease time.Duration
 	if sim.owner != nil && rapid.Bool().Draw(sim.t, "end seen") {
 		ended = min(sim.owner.leaseEnd, sim.now)
 	}
+	if sim.owner != nil && sim.owner.termsStored && sim.owner.leaseEnd <= sim.now { // its key has expired
+		longestLease = simLease + simBeyondRenewal - ownerLeaseTTL
+	}
 	o.core = schedule.New(schedule.Options{
 		Bounds: testBounds, Lease: simLease, Generation: generation, Token: o.token, Claimed: sim.now, KnownLeaseEnds: known,
-		EarlierEnded: ended,
-		Log:          sim.log,
-		Observe:      func(string, string, string, time.Duration) {},
+		EarlierEnded: ended, EarlierLease: longestLease,
+		Log:     sim.log,
+		Observe: func(string, string, string, time.Duration) {},
 	})
 	o.core.SetTime(sim.now, sim.now.Milliseconds())
 	o.core.SetBundle(&platform.Bundle{
@@ -203,6 +212,8 @@
 	if sim.now >= o.leaseEnd || o.core.Superseded() {
 		return
 	}
+	o.termsStored = o.termsStored || sim.now >= o.claimedAt+simTermsAfter
+	o.core.LimitLeases(o.leaseEnd - ownerLeaseTTL + simLease + simBeyondRenewal)
 	for _, call := range o.core.Decide() {
 		if _, ok := call.(schedule.CloseConnections); ok {
 			continue // connections are not simulated
--- a/schedule/unreached_test.go
+++ b/schedule/unreached_test.go
@@ -148,3 +148,20 @@
 	h.earlierEnded = h.now - time.Second
 	h.runUnreached(schedule.UnreachedUpstreams{}, testLease-time.Second, func() { t.Fatal("started before the lease has ended") })
 }
+
+// Guards against a lease that ends later after the last renewal of the owner's own lease than the next owner takes it to (TWICE).
+func TestLeasesEndSoonAfterTheOwnersOwn(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.addUpstream("u-1")
+	h.fenceAll(platform.PollResult{})
+	limit := h.now + testLease - 300*time.Millisecond
+	h.core.LimitLeases(limit)
+	h.addJob(1, job.Step{Count: 1, Request: job.Resources{MilliCPU: 1000}, LongRunning: true})
+	calls := h.decide()
+	is.Equal(len(calls.starts), 1)
+	is.True(calls.starts[0].Command.DeadlineMS <= limit.Milliseconds())
+	is.Equal(len(calls.polls), 1)
+	is.True(calls.polls[0].Request.DeadlineMS > 0)
+	is.True(calls.polls[0].Request.DeadlineMS <= limit.Milliseconds())
+}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -206,7 +206,7 @@
 // earlierLeaseExpired reports whether nothing of an earlier owner runs on an upstream that has not been reached. If that has
 // been known since the claim, the upstream is polled once before, since it may list a run that is done.
 func (c *Core) earlierLeaseExpired(up *upstream) bool {
-	return !up.isListingEnds() && c.now > up.lastLeaseEnd() && (up.failedPolls > 0 || c.now > c.Claimed+c.inheritedLease())
+	return !up.isListingEnds() && c.now > up.lastLeaseEnd() && (up.failedPolls > 0 || c.now > c.Claimed+inheritedLease(c.Lease))
 }
 
 // LeaseEnds returns for each known upstream the time by which all leases there have expired, whichever owner granted them and
@@ -222,10 +222,10 @@
 // InheritedLeaseEnd returns the time by which the leases that earlier owners granted have expired, as far as only the end of
 // the last ownership is known. It does not change, and may be called from any goroutine.
 func (c *Core) InheritedLeaseEnd() time.Duration {
-	return c.EarlierEnded + c.inheritedLease()
+	return c.EarlierEnded + inheritedLease(c.EarlierLease)
 }
 
-// inheritedLease returns how long after the end of an ownership its runs may continue unseen.
-func (c *Core) inheritedLease() time.Duration {
-	return time.Duration(float64(c.Lease)/minClockRate) + takeoverMargin
+// inheritedLease returns how long runs may continue unseen under a lease that an earlier owner granted.
+func inheritedLease(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/minClockRate) + takeoverMargin
 }
