schedule: histories of outages and of upstreams that are cut off

Checks the users' rule LOST for long-running tasks with no looser bound than theirs: the calm begins with the end of an outage, not with the next claim, and a task that was given up counts as lost.

Needs hooks in the simulation: writes wait while the store is down, and an owner between two others voids the known leases.

--- a/schedule/services_test.go
+++ b/schedule/services_test.go
@@ -129,7 +129,7 @@
 	if slices.ContainsFunc(sim.upstreams, func(u *simUpstream) bool { return u.running[id] != nil }) {
 		h.lastRun[id] = sim.now
 	}
-	if sim.now < h.lastRun[id]+6*time.Second || h.givenUp[id.String()] || h.givenUp[string(id.Job)] || !sim.hasRoomTwice(id, step) {
+	if sim.now < h.lastRun[id]+6*time.Second || h.isExcused(sim, id) || !sim.hasRoomTwice(id, step) {
 		delete(h.lacksSince, id)
 		return
 	}
@@ -137,11 +137,22 @@
 		h.lacksSince[id] = sim.now
 	}
 	if h.ongoing == 0 && min(sim.now-h.lacksSince[id]-3*time.Second, sim.now-h.disturbedAt-7*time.Second) >= 0 {
+		if sim.outages != nil {
+			sim.fail("LOST: nothing of %s has run for %v, with room for it for %v and %v of calm: %s", id, sim.now-h.lastRun[id],
+				sim.now-h.lacksSince[id], sim.now-h.disturbedAt, sim.outages.describe(sim, id))
+			return
+		}
 		sim.fail("LOST: nothing of %s has run for %v, with room for it for %v and %v of calm: %+v", id, sim.now-h.lastRun[id],
 			sim.now-h.lacksSince[id], sim.now-h.disturbedAt, sim.explain(id))
 	}
 }
 
+// isExcused reports whether the owner has given up the task, or its job, as one that may have crashed its upstreams. No task of a
+// history of outages does.
+func (h *serviceHistory) isExcused(sim *simulation, id job.TaskID) bool {
+	return sim.outages == nil && (h.givenUp[id.String()] || h.givenUp[string(id.Job)])
+}
+
 // hasRoomTwice reports whether two tasks of the step would fit beside what runs on sound upstreams, and their team has less
 // than half of its cap in use.
 func (sim *simulation) hasRoomTwice(id job.TaskID, step *job.Step) bool {
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -35,7 +35,10 @@
 	faultsEnded    bool
 	lateCall       bool // the call being executed was delayed by its upstream
 	starts         int
+	skippedOwner   bool            // there was an owner since the last one that ended before it had read its state
+	storeDown      bool            // it turns all calls of the owner away
 	maxEnds        int             // number of ends that an upstream lists at a time
+	outages        *outageHistory  // nil: none
 	services       *serviceHistory // nil: faults are drawn for each call, and are known to the owner at once
 }
 
@@ -76,9 +79,10 @@
 }
 
 const (
-	ownerLeaseTTL  = 1500 * time.Millisecond
-	simLease       = 5 * time.Second
-	simUpstreamCPU = 4000
+	ownerLeaseTTL   = 1500 * time.Millisecond
+	storeRetryDelay = 100 * time.Millisecond
+	simLease        = 5 * time.Second
+	simUpstreamCPU  = 4000
 )
 
 func newSimulation(t *rapid.T, upstreams int) *simulation {
@@ -132,7 +136,7 @@
 	generation := sim.nextGeneration
 	sim.nextGeneration++
 	var known map[string]time.Duration
-	if sim.owner != nil && rapid.Bool().Draw(sim.t, "same process") {
+	if sim.owner != nil && rapid.Bool().Draw(sim.t, "same process") && !sim.skippedOwner {
 		known = sim.owner.core.LeaseEnds()
 	}
 	o.core = schedule.New(schedule.Options{
@@ -157,7 +161,7 @@
 	for _, id := range sim.submitted {
 		sim.deliverJob(o, sim.stored[id])
 	}
-	sim.owner = o
+	sim.owner, sim.skippedOwner = o, false
 }
 
 // log prints the owners' decisions with -v -rapid.v.
@@ -165,6 +169,9 @@
 	if sim.services != nil && (event == "task given up" || event == "job ended") {
 		sim.services.noteGivenUp(event, fields)
 	}
+	if sim.outages != nil {
+		sim.outages.note(sim, event, fields)
+	}
 	if testing.Verbose() {
 		sim.t.Logf("%v %s %v", sim.now-time.Hour, event, fields)
 	}
@@ -216,7 +223,7 @@
 		}
 		sim.calls = append(sim.calls, pending)
 	}
-	if o.storing {
+	if o.storing || sim.storeDown {
 		return
 	}
 	if roster := o.core.TakeRosterChange(); o.core.HasUnstoredRecords() || !roster.IsEmpty() {
@@ -234,10 +241,16 @@
 	o.storing = true
 	batch := o.core.TakeRecords()
 	applied := false
-	sim.calls = append(sim.calls, &pendingCall{owner: o, at: sim.now + sim.delay("write", 60), complete: func(o *simOwner) {
+	var write *pendingCall
+	write = &pendingCall{owner: o, at: sim.now + sim.delay("write", 60), complete: func(o *simOwner) {
 		if sim.owner != o || applied {
 			return // another owner has claimed: the transaction's condition fails
 		}
+		if sim.storeDown {
+			write.at = sim.now + storeRetryDelay
+			sim.calls = append(sim.calls, write)
+			return
+		}
 		applied = true
 		if batch.Unreached != nil {
 			sim.unreached = *batch.Unreached
@@ -260,7 +273,8 @@
 			o.core.RosterStored(roster)
 			o.core.RecordsStored(batch.Number)
 		}
-	}})
+	}}
+	sim.calls = append(sim.calls, write)
 }
 
 // advance moves the time forward and executes the calls that are due.
@@ -271,7 +285,7 @@
 		for _, u := range sim.upstreams {
 			u.tick(sim)
 		}
-		if sim.owner != nil && !sim.owner.dead && sim.now < sim.owner.leaseEnd {
+		if sim.owner != nil && !sim.owner.dead && sim.now < sim.owner.leaseEnd && !sim.storeDown {
 			sim.owner.leaseEnd = sim.now + ownerLeaseTTL // lease renewal
 		}
 		sim.executeDueCalls()
