schedule: failing test: a late claim after a long outage begins the wait for a lease anew

The wait is 5.41 s from the claim, though the former owner has extended no lease for longer than that.

--- /dev/null
+++ b/schedule/outageleases_test.go
@@ -0,0 +1,33 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// calmBound is how long after the end of the last disturbance a long-running task may have nothing running.
+const calmBound = 7 * time.Second
+
+// lose ends an upstream for good.
+func (o *ownerships) lose(id string) {
+	o.gone[id], o.silent[id] = true, true
+	delete(o.running, id)
+}
+
+// Guards against a wait for a lease that begins with the claim, although the former owner has extended none since the outage
+// of the store began.
+func TestTaskOfGoneUpstreamDoesNotWaitForALeaseAfterALongOutage(t *testing.T) {
+	is := is.New(t)
+	o := newOwnerships(t, entries("u-1", "u-2", "u-3")...)
+	id := o.submit(1, lasting(1, 1000))
+	o.own(time.Second)
+	o.lose(o.placeOf(id))
+	o.advance(8 * time.Second) // the outage: the former owner's lease has ended, and that of its runs
+	outageEnd := o.now
+	o.advance(2 * time.Second)
+	o.takeOver()
+	o.awaitRun(id, 20*time.Second)
+	is.True(o.now-outageEnd <= calmBound)
+}
