--- a/schedule/outageleases_test.go
+++ b/schedule/outageleases_test.go
@@ -31,3 +31,21 @@
 	o.awaitRun(id, 20*time.Second)
 	is.True(o.now-outageEnd <= calmBound)
 }
+
+// Guards against a wait for a lease that begins anew with an ownership that ends before its state is read, which stores no
+// record of the upstreams that are not reached.
+func TestOwnershipWithoutStateDoesNotProlongTheWaitForALease(t *testing.T) {
+	is := is.New(t)
+	o := newOwnerships(t, entries("u-1", "u-2", "u-3")...)
+	id := o.submit(1, lasting(1, 1000))
+	o.own(time.Second)
+	o.lose(o.placeOf(id))
+	o.takeOver()
+	first := o.now
+	o.own(4 * time.Second)
+	o.claim(nil) // its state is not read
+	o.advance(500 * time.Millisecond)
+	o.takeOver()
+	o.awaitRun(id, 20*time.Second)
+	is.True(o.now-first <= testLease+2*time.Second)
+}
