schedule: failing test: quarantines add to the wait for a lease after a takeover

All upstreams are in a new quarantine when the wait of 5.41 s ends: started 7.05 s after the outage (bound 7 s).

--- a/schedule/outageleases_test.go
+++ b/schedule/outageleases_test.go
@@ -65,3 +65,23 @@
 	o.awaitRun(id, 20*time.Second)
 	is.True(o.now-killed <= calmBound)
 }
+
+// Guards against a long-running task that, after its wait for the lease on an upstream that is gone, also waits for quarantines that
+// began just before: short jobs that always fail have closed all upstreams.
+func TestTaskDoesNotWaitForQuarantinesAfterItsWaitForALease(t *testing.T) {
+	is := is.New(t)
+	o := newOwnerships(t, entries("u-1", "u-2", "u-3")...)
+	id := o.submit(1, lasting(1, 1000))
+	o.own(time.Second)
+	o.lose(o.placeOf(id))
+	o.advance(8 * time.Second)
+	outageEnd := o.now
+	o.advance(minClaimDelay)
+	o.takeOver()
+	o.own(testLease + 200*time.Millisecond)
+	for number := 10; number < 30; number++ {
+		o.bad[o.addUniformJob(number, 2, 1000)] = true
+	}
+	o.awaitRun(id, 20*time.Second)
+	is.True(o.now-outageEnd <= calmBound)
+}
