--- a/schedule/outageleases_test.go
+++ b/schedule/outageleases_test.go
@@ -85,3 +85,25 @@
 	o.awaitRun(id, 20*time.Second)
 	is.True(o.now-outageEnd <= calmBound)
 }
+
+// Guards against long-running tasks of several jobs that wait for one another's trials of upstreams that were in quarantine, after
+// their own upstream was lost unseen: only tasks that are no suspects start beside a trial.
+func TestSuspectsDoNotWaitForOneAnothersTrials(t *testing.T) {
+	is := is.New(t)
+	o := newOwnerships(t, entries("u-1", "u-2", "u-3")...)
+	first, second, third := o.submit(1, lasting(1, 1000)), o.submit(2, lasting(1, 1000)), o.submit(3, lasting(1, 1000))
+	o.own(time.Second)
+	o.lose("u-1") // all three tasks ran there
+	o.advance(8 * time.Second)
+	outageEnd := o.now
+	o.advance(minClaimDelay)
+	o.takeOver()
+	o.own(3 * time.Second)
+	for number := 10; number < 12; number++ {
+		o.bad[o.addUniformJob(number, 2, 1000)] = true
+	}
+	for o.runsOf(first)+o.runsOf(second)+o.runsOf(third) < 3 && o.now < outageEnd+20*time.Second {
+		o.own(ownershipStep)
+	}
+	is.True(o.now-outageEnd <= calmBound)
+}
