schedule: long-running suspects start beside the trials of others

Cause: a task that starves may start beside another one's trial of an upstream after a quarantine, if most upstreams are in that state; leastInProbation, which places suspects, lacked this exception, so that suspects took 2 s each in turn.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -367,7 +367,7 @@
 			held++
 			continue
 		}
-		if !c.mayHold(p, up) || !p.step.LongRunning && t.isKeptFrom(trials[up.place()]) {
+		if !c.mayHold(p, up) && !(c.couldRun(p, up) && c.mayStartBesideTrial(p, t, up)) || !p.step.LongRunning && t.isKeptFrom(trials[up.place()]) {
 			continue
 		}
 		key := [3]int{1, 0, up.runs.len()}
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -71,8 +71,13 @@
 // mayHold reports whether a task of the part may run on the upstream once other runs there have ended. Long-running tasks do
 // not end.
 func (c *Core) mayHold(p *part, up *upstream) bool {
+	return up.health.allowsStart(c.now) && c.couldRun(p, up)
+}
+
+// couldRun is mayHold, whatever the upstream's failures.
+func (c *Core) couldRun(p *part, up *upstream) bool {
 	reserved := p.step.ReservedResources()
-	return reserved.Fits(up.Capacity.Sub(up.usedLongRunning)) && c.admits(p, up) && up.health.allowsStart(c.now) &&
+	return reserved.Fits(up.Capacity.Sub(up.usedLongRunning)) && c.admits(p, up) &&
 		(p.step.MaxPerUpstream == 0 || p.perUpstream[up.ID] < p.step.MaxPerUpstream)
 }
 
