schedule: a long-running task that has waited for 3 s tries upstreams at the begin of a quarantine

Cause: two waits that each have a bound add up: starving tasks try upstreams in quarantine only after the first 1.5 s of it. Change: a task that has waited for 3 s does not wait for these either; a failure costs it nothing but the attempt.

--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -1,28 +1,40 @@
 package schedule
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Long-running tasks that have waited for starvedAfter: what they may use beyond other tasks, and what is kept for them.
 
+// ignoreQuarantineAfter is how long a long-running task waits at most for the first part of a quarantine. It may have waited for a
+// lease before.
+const ignoreQuarantineAfter = 3 * time.Second
+
 // placeOnTrial places starving long-running tasks that have found no room on upstreams in quarantine: a failure costs such a
 // task nothing but the attempt.
 func (pl *placement) placeOnTrial(c *Core) {
-	trial := c.trialUpstreams(pl.pool)
+	closed := c.trialUpstreams(pl.pool, 0)
+	trial := c.trialUpstreams(pl.pool, baseQuarantine)
 	for _, candidate := range pl.pool.waiting.list {
-		if !candidate.starving || len(trial) == 0 {
+		if !candidate.starving || len(closed) == 0 {
 			return
 		}
-		if pl.pool.has(candidate.part) && !candidate.part.step.Gang {
-			c.placeTasks(candidate.part, trial, trial)
+		switch part := candidate.part; {
+		case !pl.pool.has(part) || part.step.Gang:
+		case c.hasWaitedFor(part, ignoreQuarantineAfter):
+			c.placeTasks(part, closed, closed)
+		default:
+			c.placeTasks(part, trial, trial)
 		}
 	}
 }
 
-// trialUpstreams returns the pool's upstreams that have been in quarantine for longer than the first one lasts.
-func (c *Core) trialUpstreams(p *pool) []*upstream {
+// trialUpstreams returns the pool's upstreams that have been in quarantine for at least the given time.
+func (c *Core) trialUpstreams(p *pool, atLeast time.Duration) []*upstream {
 	var found []*upstream
 	for _, up := range p.byID {
-		mayTry := up.health.quarantines > 0 && c.now >= up.health.quarantinedAt+baseQuarantine
+		mayTry := up.health.quarantines > 0 && c.now >= up.health.quarantinedAt+atLeast
 		if mayTry && up.health.isExcluded(c.now) && !up.released && c.isReady(up) {
 			found = append(found, up)
 		}
