ledger, schedule: a claim takes the record of unreached upstreams over

Cause: the record counted for the next generation only, since that owner may have extended the leases. An ownership without state takes a generation, but stores no record. Change: each claim stores the record of the ownership before again, as its own, in the same transaction, and the owner extends no lease on the upstreams that it names before its own record no longer does; neither by a start that is sent again. A claim of an earlier version does not, and so voids it. The histories draw claims of both versions.

--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -83,7 +83,11 @@
 				return nil, err
 			}
 		}
-		revision, err := l.writeClaim(ctx, self, owner.Revision, chain.Revision, lease, timeout)
+		unreached, err := l.takeOverUnreached(ctx, self.Generation, timeout)
+		if err != nil {
+			return nil, err
+		}
+		revision, err := l.writeClaim(ctx, self, owner.Revision, chain.Revision, lease, unreached, timeout)
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
@@ -140,8 +144,8 @@
 	}, nil
 }
 
-// writeClaim replaces the owner's record and cg/chain if neither has changed since the given revisions.
-func (l *Ledger) writeClaim(ctx context.Context, record OwnerRecord, ownerRevision, chainRevision, lease uint64, timeout time.Duration) (uint64, error) {
+// writeClaim replaces the owner's record and cg/chain if neither has changed since the given revisions, and makes further writes.
+func (l *Ledger) writeClaim(ctx context.Context, record OwnerRecord, ownerRevision, chainRevision, lease uint64, further []platform.Write, timeout time.Duration) (uint64, error) {
 	ownerValue, err := job.Encode(record)
 	if err != nil {
 		return 0, err
@@ -154,9 +158,9 @@
 		If: []platform.Condition{
 			{Key: OwnerKey, Revision: ownerRevision}, {Key: chainKey, Revision: chainRevision},
 		},
-		Set: []platform.Write{
+		Set: append([]platform.Write{
 			{Key: OwnerKey, Value: ownerValue, Lease: lease}, {Key: chainKey, Value: chainValue},
-		},
+		}, further...),
 	}
 	var revision uint64
 	err = RepeatRejected(ctx, func() error {
@@ -348,21 +352,6 @@
 	return job.Decode(item.Value, commanded)
 }
 
-// UnreachedWrite returns the write that stores the upstreams that the owner has not reached.
-func UnreachedWrite(unreached any) (platform.Write, error) {
-	value, err := job.Encode(unreached)
-	return platform.Write{Key: unreachedKey, Value: value}, err
-}
-
-// Unreached decodes the record of UnreachedWrite into unreached, which stays unchanged if there is none.
-func (l *Ledger) Unreached(ctx context.Context, unreached any, timeout time.Duration) error {
-	item, err := l.kv.Get(ctx, unreachedKey, timeout)
-	if err != nil || item.Revision == 0 {
-		return err
-	}
-	return job.Decode(item.Value, unreached)
-}
-
 // DecodeOwner decodes the owner's item. It returns an empty record if the key does not exist.
 func DecodeOwner(item platform.Item) (OwnerRecord, error) {
 	var record OwnerRecord
--- a/schedule/outageleases_test.go
+++ b/schedule/outageleases_test.go
@@ -27,7 +27,7 @@
 	o.takeOver()
 	first := o.now
 	o.own(4 * time.Second)
-	o.claim(nil) // its state is not read
+	o.claimOnly()
 	o.advance(500 * time.Millisecond)
 	o.takeOver()
 	o.awaitRun(id, 20*time.Second)
--- a/schedule/outages_test.go
+++ b/schedule/outages_test.go
@@ -246,7 +246,7 @@
 // skipOwner has an owner that ends before it has read its state.
 func (sim *simulation) skipOwner() {
 	sim.revision++
-	sim.nextGeneration++
+	sim.takeGeneration()
 	sim.skippedOwner = true
 }
 
--- a/schedule/ownerships_test.go
+++ b/schedule/ownerships_test.go
@@ -69,9 +69,18 @@
 	o.core.RecordsStored(batch.Number)
 }
 
+// claimOnly has another process claim the fleet, which does not read its state. The claim takes the record of unreached upstreams
+// over.
+func (o *ownerships) claimOnly() {
+	o.claim(nil)
+	if o.carried.Generation+2 == o.generation {
+		o.carried.Generation++
+	}
+}
+
 // takeOver has another process claim the fleet.
 func (o *ownerships) takeOver() {
-	o.claim(nil)
+	o.claimOnly()
 	for _, entry := range o.roster {
 		o.core.InheritUpstream(entry)
 	}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -247,6 +247,7 @@
 		switch r.state {
 		case runUnknown:
 			switch {
+			case !c.mayExtendLease(r.up): // which a start would
 			case r.unanswered < maxStartAttempts && !r.up.isOverCapacity():
 				c.sendStart(r, c.ticketFor(r.part, r.up))
 			case r.up.answeredSeq > r.pollSeqAtReturn:
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -135,12 +135,22 @@
 	panic("no upstream " + id)
 }
 
+// takeGeneration returns the generation of a claim, which takes the record of unreached upstreams over unless it is of an earlier
+// version.
+func (sim *simulation) takeGeneration() uint64 {
+	generation := sim.nextGeneration
+	sim.nextGeneration++
+	if generation > 0 && sim.unreached.Generation == generation-1 && rapid.Bool().Draw(sim.t, "taken over") {
+		sim.unreached.Generation = generation
+	}
+	return generation
+}
+
 // claim creates a new owner, which reads the stored state.
 func (sim *simulation) claim() {
 	sim.revision++
 	o := &simOwner{token: sim.revision, leaseEnd: sim.now + ownerLeaseTTL, claimedAt: sim.now}
-	generation := sim.nextGeneration
-	sim.nextGeneration++
+	generation := sim.takeGeneration()
 	var known map[string]time.Duration
 	if sim.owner != nil && rapid.Bool().Draw(sim.t, "same process") && !sim.skippedOwner {
 		known = sim.owner.core.LeaseEnds()
--- a/schedule/unreached.go
+++ b/schedule/unreached.go
@@ -2,17 +2,21 @@
 
 import "time"
 
-// An owner cannot know when earlier ones last extended a lease on an upstream that it does not reach, and counts from its
-// claim. In a series of short ownerships each one would begin that wait anew. So the owner stores which upstreams it has not
-// reached, and how much of their leases is left, and extends no lease there before the record no longer names them.
+// An owner cannot know when earlier ones last extended a lease on an upstream that it does not reach, and counts from the end
+// of the ownership before. In a series of short ownerships each one would begin that wait anew. So the owner stores which
+// upstreams it does not reach, and how much of their leases is left, and extends no lease there before the record no longer
+// names them.
 
-// unreachedInterval is the time between the claim and the first record of unreached upstreams, and between two records. Most
-// takeovers reach all upstreams before the first one.
-const unreachedInterval = 500 * time.Millisecond
+const (
+	// unreachedInterval is the time between the claim and the first record of unreached upstreams, and between two records. Most takeovers reach all upstreams before the first record.
+	unreachedInterval = 500 * time.Millisecond
+	// maxUnreached bounds the size of the record.
+	maxUnreached = 1000 // upstreams
+)
 
 // UnreachedUpstreams are the upstreams on which no owner has extended a lease since the record was made.
 type UnreachedUpstreams struct {
-	Generation  uint64           `cbor:"1,keyasint"` // of the owner that made the record
+	Generation  uint64           `cbor:"1,keyasint"` // of the owner that made the record, or of the last claim that has taken it over
 	LeaseLeftMS map[string]int64 `cbor:"2,keyasint,omitempty"`
 }
 
@@ -26,13 +30,21 @@
 	dirty   bool
 }
 
-// InheritUnreached applies the record that the previous owner stored. It must have been read before the time of SetTime.
-// Records of other owners are void: an owner between may have extended the leases.
+// InheritUnreached applies the record that the previous owner stored, or that an earlier one did and all claims since have taken
+// over. It must have been read before the time of SetTime. Records of other owners are void: an owner between may have extended
+// the leases.
 func (c *Core) InheritUnreached(record UnreachedUpstreams) {
-	if c.Generation == 0 || record.Generation != c.Generation-1 {
+	taken := record.Generation == c.Generation // by the claim
+	if !taken && (c.Generation == 0 || record.Generation != c.Generation-1) {
 		return
 	}
+	if taken {
+		c.unreached.named = map[string]bool{}
+	}
 	for id, left := range record.LeaseLeftMS {
+		if taken {
+			c.unreached.named[id] = true
+		}
 		if up := c.upstreams.get(id); up != nil {
 			up.earlierLeaseEnd = min(up.earlierLeaseEnd, c.now+time.Duration(left)*time.Millisecond)
 		}
@@ -47,12 +59,20 @@
 // isUnreached reports whether this owner has never reached the upstream, on which an earlier one may have started tasks.
 func (u *upstream) isUnreached() bool { return u.earlierLeaseEnd > 0 && !u.reached && !u.terminated }
 
+// isOutOfReach reports whether the stored record is to name the upstream: this owner has never reached it.
+func (c *Core) isOutOfReach(up *upstream) bool {
+	if up.terminated {
+		return false
+	}
+	return up.isUnreached()
+}
+
 // reviewUnreached marks the record for an update: at intervals while it names upstreams or would, and at once when one of
 // them has been reached.
 func (c *Core) reviewUnreached() {
 	r := &c.unreached
 	for id := range r.named {
-		if up := c.upstreams.get(id); up == nil || !up.isUnreached() {
+		if up := c.upstreams.get(id); up == nil || !c.isOutOfReach(up) {
 			r.dirty = true
 			return
 		}
@@ -61,7 +81,7 @@
 		return
 	}
 	for _, up := range c.upstreams.all() {
-		if up.isUnreached() && (!r.named[up.ID] || r.next < up.lastLeaseEnd()) {
+		if c.isOutOfReach(up) && (!r.named[up.ID] || r.next < up.lastLeaseEnd()) {
 			r.dirty = true
 			break
 		}
@@ -85,7 +105,7 @@
 	earlier := r.named
 	r.named = map[string]bool{}
 	for id, up := range c.upstreams.all() {
-		if up.isUnreached() {
+		if len(r.named) < maxUnreached && c.isOutOfReach(up) {
 			r.named[id] = true
 			record.LeaseLeftMS[id] = max(up.lastLeaseEnd()-c.now, 0).Milliseconds()
 		}
