schedule: the reported wait of a long-running task begins with the end of its last run

Cause: after an end 'failed' or 'done' the wait was counted from the submission. Evidence: TestReportedWaitBeginsWithTheEndOfTheLastRun failed before and passes.

--- a/schedule/absent_test.go
+++ b/schedule/absent_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -41,3 +42,25 @@
 	is.Equal(h.core.Stats().LongRunningUnconfirmed, 1)
 	is.Equal(h.core.Stats().LongRunningWaiting, 1)
 }
+
+// Guards against a report that counts the wait of a task from its submission, although a run of it failed a moment ago.
+func TestReportedWaitBeginsWithTheEndOfTheLastRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1")...)
+	var waited any
+	f.core.Log = func(event string, fields ...any) {
+		if at := slices.Index(fields, any("waited_ms")); event == "long-running task waits" && at >= 0 {
+			waited = fields[at+1]
+		}
+	}
+	id := f.addJob(1, lasting(1, 9000))
+	f.live(20 * time.Second)
+	r := f.running["u-1"][0]
+	f.running["u-1"] = nil
+	f.ended["u-1"] = append(f.ended["u-1"], platform.EndedRun{Seq: 1, Task: r.Task, Attempt: r.Attempt, Kind: platform.EndFailed})
+	f.addJob(2, lasting(1, 9000)) // takes the room
+	f.live(5 * time.Second)
+	is.Equal(f.runsOf(id), 0)
+	is.True(waited != nil)
+	is.True(waited.(int64) <= 5000)
+}
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -49,7 +49,7 @@
 	checkpoint   string
 	runs         []*run
 	notBefore    time.Duration
-	requeuedAt   time.Duration // when requeue was last called for the task; 0: never
+	requeuedAt   time.Duration // when the task was last without a run after one; 0: never
 	lastFailedOn string        // upstream of the last failed or overdue run
 	overdueStops int           // runs that were stopped because they took too long
 	suspicion    suspicion
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -137,7 +137,7 @@
 
 func (c *Core) taskDone(p *part, index int, r *run, up *upstream) bool {
 	if p.step.LongRunning {
-		p.tasks[index].notBefore = c.now + restartDelay
+		p.tasks[index].requeuedAt, p.tasks[index].notBefore = c.now, c.now+restartDelay
 		return false
 	}
 	if r != nil {
@@ -190,6 +190,7 @@
 	t.lastFailedOn = up.ID
 	if p.step.LongRunning {
 		t.failures++
+		t.requeuedAt = c.now
 		t.notBefore = c.now + min(restartDelay<<min(t.failures-1, 5), maxRestartDelay)
 		return false
 	}
