schedule: the record of unreached upstreams has those that have fallen silent

Cause: only upstreams that the owner had never reached were recorded; the next owner counts the leases on all others from the end of the ownership, though the former owner had extended none on a silent one. Change: an upstream that has been silent for 0.5 s is recorded with the rest of its lease. When it answers again, its lease is extended and tasks start there once a record without it is stored, as for those that had not been reached.

--- a/schedule/unreached.go
+++ b/schedule/unreached.go
@@ -8,7 +8,8 @@
 // names them.
 
 const (
-	// unreachedInterval is the time between the claim and the first record of unreached upstreams, and between two records. Most takeovers reach all upstreams before the first record.
+	// unreachedInterval is the time between the claim and the first record of unreached upstreams, and between two records, and how
+	// long an upstream has to be silent to be named. Most takeovers reach all upstreams before the first record.
 	unreachedInterval = 500 * time.Millisecond
 	// maxUnreached bounds the size of the record.
 	maxUnreached = 1000 // upstreams
@@ -59,12 +60,13 @@
 // isUnreached reports whether this owner has never reached the upstream, on which an earlier one may have started tasks.
 func (u *upstream) isUnreached() bool { return u.earlierLeaseEnd > 0 && !u.reached && !u.terminated }
 
-// isOutOfReach reports whether the stored record is to name the upstream: this owner has never reached it.
+// isOutOfReach reports whether the stored record is to name the upstream: this owner has never reached it, or it has been silent for
+// a while.
 func (c *Core) isOutOfReach(up *upstream) bool {
 	if up.terminated {
 		return false
 	}
-	return up.isUnreached()
+	return up.isUnreached() || up.stored && up.failedPolls > 0 && up.silentSince > up.heardAt() && c.now > up.silentSince+unreachedInterval
 }
 
 // reviewUnreached marks the record for an update: at intervals while it names upstreams or would, and at once when one of
