--- a/cmd/citrongauge/longrunning_test.go
+++ b/cmd/citrongauge/longrunning_test.go
@@ -18,6 +18,7 @@
 	calmBefore    = 7 * time.Second // how long it has to be calm before restartBound counts
 	calmAfter     = 5 * time.Second // how long it stays calm then
 	entryLifetime = 4500 * time.Millisecond
+	maxHosts      = 9
 	maxGone       = 4 // upstreams that are gone for good
 	timeFormat    = "15:04:05.000"
 	ciSeed        = 402       // a short series, which passes
@@ -37,9 +38,11 @@
 	tasks       []string // of the long-running jobs
 	submittedAt time.Time
 	faults      sync.WaitGroup
-	busy        [soakHostCount]sync.Mutex // by host: held while a fault stops its process
-	gone        int                       // number of upstreams that are to be gone for good
-	left        sync.Map                  // indices of those that are gone
+	busy        [maxHosts]sync.Mutex     // by host: held while a fault stops its process
+	gone        int                      // number of upstreams that are to be gone for good
+	left        sync.Map                 // indices of those that are gone
+	storeLink   platformfleet.ProxyFault // of the links of hosts to the store when there is no fault
+	deadHosts   []int                    // their processes are not running
 }
 
 // TestLongRunningTasksAreStartedAgain guards against a long-running task that has nothing running for 9 s although the last
--- a/cmd/citrongauge/soak_test.go
+++ b/cmd/citrongauge/soak_test.go
@@ -21,6 +21,7 @@
 
 const (
 	soakHostCount     = 3
+	soakZones         = 3
 	soakLoadDuration  = 6 * time.Second
 	soakFinishTimeout = 40 * time.Second
 	soakTeamKey       = "soak-key"
@@ -86,7 +87,11 @@
 // newSoak starts a fleet with three zones and waits until its hosts are ready. The first hosts, as many as smallHosts, are
 // less fit to be the owner.
 func newSoak(t *testing.T, seed uint64, upstreamsPerZone, smallHosts int) *soakRun {
-	f, err := platformfleet.New(platformfleet.Options{Zones: 3, UpstreamsPerZone: upstreamsPerZone, TaskDuration: 250 * time.Millisecond, TeamKey: soakTeamKey, ProxyUpstreams: true})
+	return newSoakOf(t, seed, soakHostCount, upstreamsPerZone, smallHosts)
+}
+
+func newSoakOf(t *testing.T, seed uint64, hosts, upstreamsPerZone, smallHosts int) *soakRun {
+	f, err := platformfleet.New(platformfleet.Options{Zones: soakZones, UpstreamsPerZone: upstreamsPerZone, TaskDuration: 250 * time.Millisecond, TeamKey: soakTeamKey, ProxyUpstreams: true})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,7 +107,7 @@
 		}
 		s.stop()
 	})
-	for i := range soakHostCount {
+	for i := range hosts {
 		s.hosts = append(s.hosts, s.newHost(directory, i))
 	}
 	s.waitReady()
@@ -129,7 +134,7 @@
 		s.t.Fatal(err)
 	}
 	h.storeProxy, h.gate = proxy, gate
-	content := s.fleet.Settings(name, platformfleet.ZoneName(i), h.clientAddress, freeAddress(s.t), port)
+	content := s.fleet.Settings(name, platformfleet.ZoneName(i%soakZones), h.clientAddress, freeAddress(s.t), port)
 	if i < s.smallHosts {
 		content = strings.Replace(content, "[limits]", "[limits]\ncpu_share = 0.1", 1)
 	}
