--- a/cmd/citrongauge/longrunning_outage_test.go
+++ b/cmd/citrongauge/longrunning_outage_test.go
@@ -52,7 +52,8 @@
 // hosts away and may fall silent, while further upstreams fail. All faults end at the same moment. OUTAGE_SEEDS sets the
 // number of seeds, OUTAGE_FROM the first, OUTAGE_SERIES the number of outages, OUTAGE_HOSTS and OUTAGE_UPSTREAMS the numbers
 // of hosts and of upstreams per zone, OUTAGE_INTERVAL_MS the interval of the short jobs and OUTAGE_EXTRA_MS by how much longer
-// their tasks take.
+// their tasks take, OUTAGE_DELAY_MS the delay of the links to the store. OUTAGE_KEEP_LOGS
+// keeps the daemons' logs of all calms.
 func TestLongRunningTasksAreStartedAgainAfterAnOutage(t *testing.T) {
 	t.Parallel()
 	seeds := intFromEnvironment("OUTAGE_SEEDS", 0)
@@ -66,6 +67,8 @@
 			for _, u := range s.fleet.Upstreams {
 				u.SetFaults(platformfleet.UpstreamFaults{ExtraDuration: time.Duration(intFromEnvironment("OUTAGE_EXTRA_MS", 0)) * time.Millisecond})
 			}
+			s.storeLink.Delay = time.Duration(intFromEnvironment("OUTAGE_DELAY_MS", 0)) * time.Millisecond
+			s.clearFaultsExceptGone()
 			interval := time.Duration(intFromEnvironment("OUTAGE_INTERVAL_MS", int(submitInterval.Milliseconds()))) * time.Millisecond
 			s.underLoad(interval, func() {
 				for range intFromEnvironment("OUTAGE_SERIES", 2) {
@@ -445,3 +448,25 @@
 		victims: []outageVictim{{upstream: u, how: "dark", before: 4500 * time.Millisecond}},
 	}), calmBefore+time.Second)
 }
+
+// TestQuarantineOfAPoolDoesNotProlongTheWaitForALease guards against a long-running task that, after its wait for the lease of
+// an upstream that is gone, waits for the end of a quarantine of all others, although they have room: after a takeover they get
+// short tasks at the same moment, which take longer than estimated and are stopped at the same moment.
+func TestQuarantineOfAPoolDoesNotProlongTheWaitForALease(t *testing.T) {
+	t.Parallel()
+	s := &longRunning{soakRun: newSoak(t, 6, 2, soakHostCount)}
+	s.submitLongRunning(firstLongJob, 1, "")
+	u := s.waitForRuns(1)
+	s.storeLink.Delay = 30 * time.Millisecond
+	s.clearFaultsExceptGone()
+	for _, upstream := range s.fleet.Upstreams {
+		upstream.SetFaults(platformfleet.UpstreamFaults{ExtraDuration: 3 * time.Second})
+	}
+	s.underLoad(50*time.Millisecond, func() {
+		time.Sleep(4 * time.Second)
+		s.checkCalmSince(s.outage(outagePlan{
+			reject: 4 * time.Second, killOwner: 50 * time.Millisecond, ownerGone: true,
+			victims: []outageVictim{{upstream: u, how: "dark", before: 3 * time.Second}},
+		}), calmBefore+2*time.Second)
+	})
+}
