--- a/schedule/core.go
+++ b/schedule/core.go
@@ -71,6 +71,7 @@
 	wallMS int64         // Unix milliseconds of the event being handled
 
 	jobs            *orderedMap[job.ID, *jobState]
+	repeated        *orderedMap[job.ID, *jobState] // jobs with occurrences that have not been added
 	upstreams       *orderedMap[string, *upstream] // by ID
 	pools           *orderedMap[string, *pool]
 	teams           map[string]*team
@@ -168,7 +169,7 @@
 func New(options Options) *Core {
 	return &Core{
 		Options: options,
-		jobs:    newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
+		jobs:    newOrderedMap[job.ID, *jobState](), repeated: newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, durationRatios: map[string]*durationRatio{},
 		window:          startWindow{limit: initialStartWindow},
 		newestUpstreams: map[string]*upstream{}, roster: newOrderedMap[string, *upstream](),
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -98,6 +98,9 @@
 	state.hasBegun = progress != nil && progress.Phase == job.Active
 	state.objective = c.computeObjective(state)
 	c.jobs.set(j.ID, state)
+	if j.Repeat > 0 {
+		c.repeated.set(j.ID, state)
+	}
 	recorded := map[job.Part]job.PartProgress{}
 	if progress != nil {
 		for _, p := range progress.Parts {
@@ -184,12 +187,14 @@
 
 // addDueOccurrences adds the occurrences that have become due.
 func (c *Core) addDueOccurrences() {
-	for _, j := range c.jobs.all() {
-		if j.phase.Terminal() || j.dueOccurrences >= j.Occurrences() || !c.isDue(j, j.dueOccurrences) {
-			continue
+	for id, j := range c.repeated.all() {
+		switch {
+		case j.phase.Terminal() || j.dueOccurrences >= j.Occurrences():
+			c.repeated.delete(id)
+		case c.isDue(j, j.dueOccurrences):
+			c.Log("occurrence due", "job", id, "occurrence", j.dueOccurrences)
+			c.materialize(j, nil)
 		}
-		c.Log("occurrence due", "job", j.ID, "occurrence", j.dueOccurrences)
-		c.materialize(j, nil)
 	}
 }
 
