--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -114,6 +114,7 @@
 	d := &poolDemand{pool: p}
 	for part := range p.parts.all() {
 		part.tier = c.tierOf(part)
+		part.waiting, part.starved = c.countWaitingTasks(part)
 	}
 	for _, up := range p.byID {
 		if up.Capacity.MilliCPU > d.machineCPU {
@@ -182,10 +183,9 @@
 			sums = new([tierCount]int64)
 			byTeam.set(part.job.team, sums)
 		}
-		waiting, starved := c.countWaitingTasks(part)
-		sums[part.tier] += int64(waiting) * d.equivalentCPU(part.step.ReservedResources())
-		if starved && part.step.LongRunning && !part.job.Queue.NeedsAdvice && part.job.team.allows(part.step.Request) {
-			d.starved += waiting
+		sums[part.tier] += int64(part.waiting) * d.equivalentCPU(part.step.ReservedResources())
+		if part.starved && part.step.LongRunning && !part.job.Queue.NeedsAdvice && part.job.team.allows(part.step.Request) {
+			d.starved += part.waiting
 		}
 	}
 	for t, sums := range byTeam.all() {
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -39,6 +39,8 @@
 	tooLate     bool          // timeliness has returned tooLate, which is final
 	queued      bool          // listed in its pool's waiting parts
 	tier        tier          // as of the last round of sizing
+	waiting     int           // number of tasks that can be started, as of the last round of sizing
+	starved     bool          // one of them has waited for longer than starvedAfter, as of the last round of sizing
 	tickets     *tickets
 }
 
--- a/schedule/shortages.go
+++ b/schedule/shortages.go
@@ -25,22 +25,21 @@
 	return capacity == (job.Resources{}) || s.perTask.Fits(capacity)
 }
 
-// shortages returns the pool's shortages, in the order of its parts.
+// shortages returns the pool's shortages, in the order of its parts. It is called after demandOf.
 func (c *Core) shortages(p *pool) []shortage {
 	var found []shortage
 	for part := range p.parts.all() {
-		waiting, starved := c.countWaitingTasks(part)
-		if waiting == 0 || !part.job.team.allows(part.step.Request) || !c.canEverFit(p, part.step) {
+		if part.waiting == 0 || !part.job.team.allows(part.step.Request) || !c.canEverFit(p, part.step) {
 			continue
 		}
 		perTask := part.step.ReservedResources()
 		i := slices.IndexFunc(found, func(s shortage) bool { return s.label == part.step.Label })
 		switch {
 		case part.step.Label != "" && i < 0:
-			found = append(found, shortage{label: part.step.Label, perTask: perTask, milliCPU: int64(waiting) * perTask.MilliCPU})
+			found = append(found, shortage{label: part.step.Label, perTask: perTask, milliCPU: int64(part.waiting) * perTask.MilliCPU})
 		case part.step.Label != "":
-			found[i].milliCPU += int64(waiting) * perTask.MilliCPU
-		case starved && i < 0:
+			found[i].milliCPU += int64(part.waiting) * perTask.MilliCPU
+		case part.starved && i < 0:
 			found = append(found, shortage{perTask: perTask, milliCPU: 1}) // any amount above 0 acquires one machine
 		}
 	}
