--- a/schedule/core.go
+++ b/schedule/core.go
@@ -78,6 +78,7 @@
 	wallMS    int64 // Unix milliseconds of the event being handled
 
 	jobs            *orderedMap[job.ID, *jobState]
+	repeated        *orderedMap[job.ID, *jobState] // jobs with occurrences that have not been added
 	upstreams       *orderedMap[string, *upstream] // by ID
 	pools           *orderedMap[string, *pool]
 	teams           map[string]*team
@@ -125,6 +126,7 @@
 
 	stepEnds     []time.Duration // buffer of criticalPath
 	lastBatch    uint64          // number of the last batch of records that TakeRecords returned
+	takenAt      time.Duration   // when TakeRecords was called last
 	durableBatch uint64          // number of the last batch that is stored
 	dirty        *orderedMap[job.ID, *jobState]
 	begun        *orderedMap[job.ID, time.Duration] // jobs whose phase is to be stored as active, and when they began
@@ -180,7 +182,7 @@
 	}
 	return &Core{
 		Options: options,
-		jobs:    newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
+		jobs:    newOrderedMap[job.ID, *jobState](), repeated: newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, durationRatios: map[string]*durationRatio{},
 		window:          startWindow{limit: initialStartWindow},
 		newestUpstreams: map[string]*upstream{}, roster: newOrderedMap[string, *upstream](),
@@ -354,6 +356,9 @@
 	}
 	c.sizePools()
 	c.requestAdvice()
+	if c.window.held {
+		c.sendPlannedStarts()
+	}
 	c.place()
 	c.resendCommands()
 	c.pollUpstreams()
