--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -15,9 +15,12 @@
 // task nothing but the attempt.
 func (pl *placement) placeOnTrial(c *Core) {
 	closed := c.trialUpstreams(pl.pool, 0)
+	if len(closed) == 0 {
+		return
+	}
 	trial := c.trialUpstreams(pl.pool, baseQuarantine)
 	for _, candidate := range pl.pool.waiting.list {
-		if !candidate.starving || len(closed) == 0 {
+		if !candidate.starving {
 			return
 		}
 		switch part := candidate.part; {
