schedule: a run that was listed is over when its upstream starts anew

Their starts got no answer, a poll listed the runs 0.5 s later, the upstream started anew under its ID and was not reached again.

Cause: startUnresolved was set once a copy of the start got no answer, and stayed. After a restart it held the run for the platform's longest lease, for a start that the new incarnation might carry out. But only one copy had been sent, and the list showed that the earlier incarnation had carried it out. The same wait stood for a listed run whose only start was still in flight, and for a start that turned out not to have been sent.

Change: a run counts the copies of its start that got no answer, and knows of one in flight and whether one was answered. A list accounts for one copy, unless a copy was answered, which may be the one that is listed. Only what is left may still be carried out (mayStillStart). A copy that was sent again and is not accounted for keeps the long wait, as before. Stops and changes of pace carry no deadline; polls count while they are in flight, as before. A start that is answered as not executed, with no other copy, ends its run at once, also while it is being stopped.

Why it works: each copy is carried out once at most, so a copy that one incarnation has carried out starts nothing on the next one.

Tests, failed before ('0 != 1' runs): TestListedRunIsOverWhenItsUpstreamStartsAnew, TestListedRunIsOverWhileItsStartIsInFlight, TestUnsentStartIsOverWhenItsUpstreamStartsAnew. TestCopyOfAStartMayBeCarriedOutAfterARestart and TestStaleDeadlineOutlivesTwoRestarts guard the long wait, and passed before.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -149,7 +149,7 @@
 	switch {
 	case r.begunMS != 0:
 		return r.up.clockMS-r.begunMS < probation.Milliseconds()
-	case r.startUnresolved:
+	case r.lostStarts > 0:
 		return r.up.answeredSeq <= r.pollSeqAtReturn
 	}
 	return true
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -193,8 +193,9 @@
 	up.health = health{}
 }
 
-// allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a command with a deadline is in
-// flight, or a start got no answer. The new incarnation may execute it, and the deadline is on the clock of the earlier one.
+// allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a poll that extends the lease is in
+// flight, or a copy of a start is not accounted for. The new incarnation may execute it, and the deadline is on the clock of the
+// earlier one. Stops and changes of pace carry no deadline.
 func (c *Core) allowForStaleDeadline(up *upstream, pollArrives bool) {
 	mayArrive := pollArrives
 	for _, r := range up.runs.all() {
--- a/schedule/lasting_test.go
+++ b/schedule/lasting_test.go
@@ -24,12 +24,21 @@
 	tickets map[string]string
 	asked   int  // upstreams named in the last request for advice
 	loses   bool // starts are lost
+
+	started      map[string]int64         // when upstreams started, in Unix milliseconds; 1 unless it is there
+	bornAt       map[string]time.Duration // when clocks began that begin at 0; the others show the time of the harness
+	drops        bool                     // starts are not carried out
+	losesAnswers int                      // number of starts whose answers are lost
+	keepsStarts  bool                     // the results of starts are not delivered, and the starts collected in inFlight
+	inFlight     []schedule.Start
+	startsSent   int
+	lastStart    schedule.Start
 }
 
 func newFleet(t *testing.T, upstreams ...platform.Upstream) *fleet {
 	f := &fleet{
 		harness: newHarness(t), running: map[string][]platform.CurrentRun{}, ended: map[string][]platform.EndedRun{},
-		silent: map[string]bool{}, bad: map[job.ID]bool{},
+		silent: map[string]bool{}, bad: map[job.ID]bool{}, started: map[string]int64{}, bornAt: map[string]time.Duration{},
 	}
 	for _, entry := range upstreams {
 		f.core.SetUpstream(entry)
@@ -64,12 +73,23 @@
 			f.core.HandleStartResult(call, 0, lostStart)
 			return
 		}
-		f.start(call)
-		f.core.HandleStartResult(call, f.now.Milliseconds(), nil)
+		f.startsSent, f.lastStart = f.startsSent+1, call
+		if !f.drops {
+			f.start(call)
+		}
+		switch {
+		case f.keepsStarts:
+			f.inFlight = append(f.inFlight, call)
+		case f.losesAnswers > 0:
+			f.losesAnswers--
+			f.core.HandleStartResult(call, 0, lostStart)
+		default:
+			f.core.HandleStartResult(call, f.clock(call.Target.ID), nil)
+		}
 	case schedule.Stop:
 		if !f.silent[call.Target.ID] {
 			f.stop(call)
-			f.core.HandleStopResult(call, f.now.Milliseconds(), nil)
+			f.core.HandleStopResult(call, f.clock(call.Target.ID), nil)
 		} else {
 			f.core.HandleStopResult(call, 0, lostStart)
 		}
@@ -78,7 +98,10 @@
 			f.core.HandlePollResult(call, platform.PollResult{}, lostStart)
 			return
 		}
-		f.answerPoll(call, platform.PollResult{Running: f.running[call.Target.ID], Ended: f.ended[call.Target.ID]})
+		id := call.Target.ID
+		f.core.HandlePollResult(call, platform.PollResult{
+			StartedMS: max(f.started[id], 1), ClockMS: f.clock(id), Running: f.running[id], Ended: f.ended[id],
+		}, nil)
 	case schedule.AdviceRequest:
 		f.asked = len(call.Upstreams)
 		tickets := maps.Clone(f.tickets)
@@ -87,6 +110,9 @@
 	}
 }
 
+// clock returns the upstream's clock in milliseconds.
+func (f *fleet) clock(id string) int64 { return (f.now - f.bornAt[id]).Milliseconds() }
+
 func (f *fleet) start(call schedule.Start) {
 	id, command := call.Target.ID, call.Command
 	if f.bad[command.Task.Job] {
--- a/schedule/losses.go
+++ b/schedule/losses.go
@@ -127,7 +127,7 @@
 func (u *upstream) suspects() []*run {
 	var suspects []*run
 	for _, r := range u.runs.all() {
-		if r.inProbation() && (r.begunMS != 0 || r.startUnresolved) && !r.part.isCounted(r.index, r.attempt) {
+		if r.inProbation() && (r.begunMS != 0 || r.lostStarts > 0) && !r.part.isCounted(r.index, r.attempt) {
 			suspects = append(suspects, r)
 		}
 	}
--- /dev/null
+++ b/schedule/restart_test.go
@@ -0,0 +1,120 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/platform"
+)
+
+// restart starts an upstream anew under its ID. Its runs have ended.
+func (f *fleet) restart(id string) {
+	f.started[id] = max(f.started[id], 1) + 1
+	f.running[id], f.ended[id] = nil, nil
+	entry := upstreamEntry(id, 16000)
+	entry.StartedMS = f.started[id]
+	f.core.SetUpstream(entry)
+}
+
+// restartAndLose restarts an upstream that never answers again.
+func (f *fleet) restartAndLose(id string) {
+	f.silent[id] = true
+	f.restart(id)
+}
+
+// Guards against a long-running task that waits for the platform's longest lease although its run is known to be over: its start
+// got no answer, a poll listed the run, and then its upstream started anew and was not reached again (LOST with real
+// processes, TestLongRunningTasksAreStartedAgain, seed 7004). The only copy of the start that was sent has been carried out.
+func TestListedRunIsOverWhenItsUpstreamStartsAnew(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.losesAnswers = 1
+	id := f.addJob(1, lasting(1, 1000))
+	f.live(500 * time.Millisecond)
+	is.Equal(len(f.running["u-1"]), 1)
+	is.Equal(f.startsSent, 1)
+	f.restartAndLose("u-1")
+	f.live(time.Second)
+	is.Equal(f.runsOf(id), 1)
+}
+
+// Guards against a long-running task that waits for the longest lease after a restart while the only copy of its start was in flight
+// there: a poll had listed the run before the upstream started anew.
+func TestListedRunIsOverWhileItsStartIsInFlight(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.keepsStarts = true
+	id := f.addJob(1, lasting(1, 1000))
+	f.live(500 * time.Millisecond)
+	is.Equal(len(f.running["u-1"]), 1)
+	is.Equal(len(f.inFlight), 1)
+	f.keepsStarts = false
+	f.restartAndLose("u-1")
+	f.live(time.Second)
+	is.Equal(f.runsOf(id), 1)
+	f.core.HandleStartResult(f.inFlight[0], 0, lostStart) // nothing is known of it any more
+	f.live(time.Second)
+	is.Equal(f.runsOf(id), 1)
+}
+
+// Guards against a long-running task that waits for the longest lease after a restart, although the only copy of its start that was in
+// flight there was not sent.
+func TestUnsentStartIsOverWhenItsUpstreamStartsAnew(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.drops, f.keepsStarts = true, true
+	id := f.addJob(1, lasting(1, 1000))
+	f.live(100 * time.Millisecond)
+	is.Equal(len(f.inFlight), 1)
+	f.drops, f.keepsStarts = false, false
+	f.restartAndLose("u-1")
+	f.core.HandleStartResult(f.inFlight[0], 0, errors.Wrap(platform.ErrNotExecuted, "no connection"))
+	f.live(time.Second)
+	is.Equal(f.runsOf(id), 1)
+}
+
+// Guards against two runs of a task (TWICE): a copy of its start that was sent again is not accounted for by the run that a poll
+// lists, and may be carried out by the next incarnation of its upstream.
+func TestCopyOfAStartMayBeCarriedOutAfterARestart(t *testing.T) {
+	for _, secondAnswered := range []bool{false, true} {
+		is := is.New(t)
+		f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+		f.drops, f.losesAnswers = true, 1
+		id := f.addJob(1, lasting(1, 1000))
+		f.live(100 * time.Millisecond)
+		is.Equal(f.startsSent, 1)
+		f.drops = false
+		if !secondAnswered {
+			f.losesAnswers = 1
+		}
+		f.live(900 * time.Millisecond)
+		is.Equal(len(f.running["u-1"]), 1)
+		is.Equal(f.startsSent, 2) // the same start
+		f.restartAndLose("u-1")
+		f.live(testBounds.MaxLease)
+		is.Equal(f.runsOf(id), 0)
+		f.live(2500 * time.Millisecond)
+		is.Equal(f.runsOf(id), 1)
+	}
+}
+
+// Guards against two runs of a task (TWICE): a copy that was sent before the first of two restarts carries a deadline on the clock
+// of the first incarnation.
+func TestStaleDeadlineOutlivesTwoRestarts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.drops, f.losesAnswers = true, 1
+	id := f.addJob(1, lasting(1, 1000))
+	f.live(100 * time.Millisecond)
+	f.drops = false
+	f.restartAndLose("u-1")
+	f.live(time.Second)
+	f.restartAndLose("u-1")
+	f.live(testBounds.MaxLease)
+	is.Equal(f.runsOf(id), 0)
+	f.live(2500 * time.Millisecond)
+	is.Equal(f.runsOf(id), 1)
+}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -43,9 +43,10 @@
 	retryAt         time.Duration
 	commandInFlight bool          // a command for the run is in flight
 	stoppedAt       time.Duration // when the stop was answered
-	// startUnresolved is set once a copy of the start was not answered. The upstream may still carry that copy out at
-	// any time.
-	startUnresolved bool
+	// lostStarts counts the copies of the start that got no answer. The upstream may still carry them out at any time.
+	lostStarts    int
+	startInFlight bool // a copy of the start is in flight
+	startAnswered bool // a copy of the start was answered with success
 
 	progress      int // percent; 100 for a long-running task that has finished its start-up
 	confirmedPace int // percent, as confirmed by the upstream
@@ -64,9 +65,17 @@
 
 func (r *run) task() *task { return &r.part.tasks[r.index] }
 
-// mayStillStart reports whether a copy of the run's start is in flight or was not answered.
+// mayStillStart reports whether a copy of the run's start may still be carried out: one that is in flight or got no answer, and
+// is not known to be the one that the upstream has carried out, as its list shows.
 func (r *run) mayStillStart() bool {
-	return r.startUnresolved || r.commandInFlight && r.state == runStarting
+	copies := r.lostStarts
+	if r.startInFlight {
+		copies++
+	}
+	if r.lastListed > 0 && !r.startAnswered {
+		copies--
+	}
+	return copies > 0
 }
 
 func (r *run) id() job.TaskID { return r.part.taskID(r.index) }
@@ -136,7 +145,7 @@
 }
 
 func (c *Core) sendStart(r *run, ticket string) {
-	r.commandInFlight = true
+	r.commandInFlight, r.startInFlight = true, true
 	r.state = runStarting
 	c.window.inFlight++
 	c.calls = append(c.calls, Start{sentAt: c.now, Target: r.up.target(), Command: platform.StartCommand{
@@ -215,7 +224,6 @@
 		c.detach(r)
 		return
 	}
-	r.startUnresolved = r.mayStillStart()
 	r.state, r.unanswered = runStopping, 0
 	c.unresolvedRuns.set(r, struct{}{})
 	c.sendStop(r)
@@ -293,27 +301,29 @@
 	if r == nil {
 		return
 	}
+	r.startInFlight = false
 	var rejected *platform.RejectedError
 	switch {
 	case err == nil:
+		r.startAnswered = true
 		c.noteBegun(r)
 		if r.state == runStarting || r.state == runUnknown {
 			r.state = runRunning
 		}
 	case errors.As(err, &rejected):
 		c.startRejected(r, rejected)
-	case errors.Is(err, platform.ErrConnectionsBusy) && r.startUnresolved && r.state == runStarting:
+	case errors.Is(err, platform.ErrConnectionsBusy) && r.lostStarts > 0 && r.state == runStarting:
 		c.startUnanswered(r, err) // the upstream is not at fault, and an earlier copy may have been carried out
 	case errors.Is(err, platform.ErrNotExecuted):
 		r.up.suspend(c, "no connection")
 		c.startNotExecuted(r, "start was not sent")
 	default:
+		r.lostStarts++
 		c.startUnanswered(r, err)
 	}
 }
 
 func (c *Core) startUnanswered(r *run, err error) {
-	r.startUnresolved = true
 	r.up.noteUnanswered(c.now)
 	if r.state == runStarting {
 		r.state = runUnknown
@@ -354,7 +364,7 @@
 // startNotExecuted handles a start that had no effect. If an earlier copy was not answered, that copy may still be
 // carried out; the run is then stopped, after which the upstream rejects every copy of the start.
 func (c *Core) startNotExecuted(r *run, reason string) {
-	if r.startUnresolved {
+	if r.lostStarts > 0 {
 		c.stopRun(r, reason+", and an earlier copy got no answer")
 		return
 	}
