schedule: a stop that was answered before a restart is void after it

Cause: an upstream started anew while a start was in flight, answered the stop of the run, and started anew again. The second new incarnation, which knows nothing of the stop, carried out the start. The owner still took the run for stopped: it ended it when the upstream fell silent for the longest time of a stop (endStoppedRuns), or when one poll did not list it, and started the task elsewhere.

Change: a run that may still start and was stopped is stopped again when its upstream starts anew; the answer to a stop that was sent to an earlier incarnation is not taken for that of the new one, and the stop is repeated.

Why it works: only the incarnation that has carried out a stop rejects the start.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -291,8 +291,9 @@
 
 // Stop requests the stop of a run.
 type Stop struct {
-	Target  platform.Target
-	Command platform.StopCommand
+	Target    platform.Target
+	Command   platform.StopCommand
+	startedMS int64 // of the upstream's incarnation, as known when the stop was sent
 }
 
 // Pace requests a change of a run's pace: the percentage of its full speed to which the upstream throttles it.
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -168,6 +168,7 @@
 // numbers of its ends begin again. pollArrives: the new incarnation may carry out a poll that extends the lease.
 func (c *Core) handleRestart(up *upstream, startedMS int64, pollArrives bool) {
 	c.noteLoss(up, true)
+	up.StartedMS = startedMS
 	c.allowForStaleDeadline(up, pollArrives)
 	var mayStart []*run
 	for _, r := range up.runs.all() {
@@ -182,8 +183,11 @@
 	for _, r := range mayStart {
 		up.runs.set(r.id(), r)
 		c.stopRun(r, "its upstream has started anew")
+		if r.state == runStopped {
+			c.beginStop(r) // the new incarnation knows nothing of the stop
+		}
 	}
-	up.StartedMS, up.restartedAt = startedMS, c.now
+	up.restartedAt = c.now
 	up.lastHandledEnd, up.ackable, up.ackConfirmed, up.pendingAcks = 0, 0, 0, nil
 	// An upstream that this owner has not fenced yet may have restarted before an earlier owner started tasks there.
 	up.reconciled = up.reconciled || up.fenced
--- a/schedule/restart_test.go
+++ b/schedule/restart_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"citrongauge.example/citrongauge/platform"
+	"citrongauge.example/citrongauge/schedule"
 )
 
 // restart starts an upstream anew under its ID. Its runs have ended.
@@ -118,3 +119,48 @@
 	f.live(2500 * time.Millisecond)
 	is.Equal(f.runsOf(id), 1)
 }
+
+// Guards against two runs of a task (TWICE): a stop was answered before its upstream started anew, and the next incarnation, which
+// knows nothing of it, carried out a copy of the start.
+func TestStopIsVoidAfterARestart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.drops, f.losesAnswers = true, 1
+	id := f.addJob(1, lasting(1, 1000))
+	f.live(100 * time.Millisecond)
+	is.Equal(f.startsSent, 1)
+	f.drops = false
+	f.restart("u-1")
+	f.live(50 * time.Millisecond) // the stop is answered
+	f.restartAndLose("u-1")
+	f.live(testBounds.MaxLease)
+	is.Equal(f.runsOf(id), 0)
+	f.live(2500 * time.Millisecond)
+	is.Equal(f.runsOf(id), 1)
+}
+
+// Guards as above, against an answer to a stop that the earlier incarnation gave and that arrives after the restart is known.
+func TestLateAnswerToAStopSaysNothingOfTheNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.drops, f.losesAnswers = true, 1
+	id := f.addJob(1, lasting(1, 1000))
+	f.live(100 * time.Millisecond)
+	f.drops = false
+	f.restart("u-1")
+	var stops []schedule.Stop
+	for _, call := range f.core.Decide() {
+		if stop, ok := call.(schedule.Stop); ok {
+			stops = append(stops, stop)
+		} else {
+			f.answer(call)
+		}
+	}
+	is.Equal(len(stops), 1)
+	f.restartAndLose("u-1")
+	f.core.HandleStopResult(stops[0], f.clock("u-1"), nil)
+	f.live(testBounds.MaxLease)
+	is.Equal(f.runsOf(id), 0)
+	f.live(2500 * time.Millisecond)
+	is.Equal(f.runsOf(id), 1)
+}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -224,6 +224,10 @@
 		c.detach(r)
 		return
 	}
+	c.beginStop(r)
+}
+
+func (c *Core) beginStop(r *run) {
 	r.state, r.unanswered = runStopping, 0
 	c.unresolvedRuns.set(r, struct{}{})
 	c.sendStop(r)
@@ -231,7 +235,7 @@
 
 func (c *Core) sendStop(r *run) {
 	r.commandInFlight = true
-	c.calls = append(c.calls, Stop{Target: r.up.target(), Command: platform.StopCommand{
+	c.calls = append(c.calls, Stop{Target: r.up.target(), startedMS: r.up.StartedMS, Command: platform.StopCommand{
 		Task: r.id(), Attempt: r.attempt, Token: c.Token,
 	}})
 }
@@ -382,15 +386,16 @@
 		return
 	}
 	var rejected *platform.RejectedError
+	isStopped := err == nil || errors.As(err, &rejected) && rejected.Reason == platform.RejectedOldAttempt
 	switch {
-	case err == nil:
+	case isStopped && stop.startedMS == r.up.StartedMS:
 		r.state, r.stoppedAt = runStopped, c.now
+	case isStopped: // an earlier incarnation may have answered
+		r.scheduleRetry(c.now)
 	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedFence:
 		c.superseded = true
 	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedOtherInstance:
 		c.handleReplaced(r.up)
-	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedOldAttempt:
-		r.state, r.stoppedAt = runStopped, c.now
 	default:
 		r.scheduleRetry(c.now)
 		if r.unanswered == 1 {
