schedule: long-running tasks that have waited avoid upstreams that restarted or were silent

Cause: the placement knows nothing of restarts. Both tasks were counted as suspects of the loss of the upstream before, so they were started apart (leastInProbation), where the fewest runs are: on the one that had just lost its runs.

Change: an upstream is settled if this owner has seen no restart of it, no silence, and not its first entry, for the time of one lease of the owner. A long-running task that starves (starvedAfter) prefers settled upstreams, in both ways of choosing; if no other one has room, it takes the others.

Tests, failed before ('0 != 1' runs on the settled upstream): TestWaitingTaskAvoidsUpstreamThatStartedAnew (as a suspect and not), TestWaitingTaskAvoidsUpstreamThatWasSilent. TestWaitingTaskUsesUpstreamThatStartedAnew passed before.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -360,7 +360,7 @@
 // of upstreams that are held for other tasks.
 func (c *Core) leastInProbation(p *part, t *task, usable []*upstream) (best *upstream, held int) {
 	reserved := p.step.ReservedResources()
-	var bestKey [3]int
+	var bestKey [4]int
 	trials := c.otherTrials(p, t)
 	for _, up := range usable {
 		if !c.isOpen(p, t, up) {
@@ -370,12 +370,12 @@
 		if !c.mayHold(p, up) || !p.step.LongRunning && t.isKeptFrom(trials[up.place()]) {
 			continue
 		}
-		key := [3]int{1, 0, up.runs.len()}
+		key := [4]int{1, rank(c.avoids(p, t, up)), 0, up.runs.len()}
 		switch fits := reserved.Fits(up.freeCapacity()); {
 		case fits && up.hold.task == t:
 			key[0] = -2
 		case fits:
-			key[0], key[1] = -1, up.inProbation()
+			key[0], key[2] = -1, up.inProbation()
 		case up.hold.task == t:
 			key[0] = 0
 		}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -419,6 +419,8 @@
 	packingBonus = 1.0
 	// longLeasePenalty keeps tasks off upstreams that could not be given up for longer than one lease.
 	longLeasePenalty = 4.0
+	// unsettledPenalty keeps long-running tasks that have waited off upstreams that started anew or were silent a moment ago.
+	unsettledPenalty = 4.0
 )
 
 // score rates an upstream for a task; higher is better. Tasks are packed, so that whole machines stay free to move to
@@ -451,9 +453,18 @@
 	if p.step.LongRunning && up.longRunning > 0 {
 		score += packingBonus
 	}
+	if c.avoids(p, t, up) {
+		score -= unsettledPenalty
+	}
 	return score - up.health.penalty()
 }
 
+// avoids reports whether the task is to start on another upstream if one has room: it has waited, and this one may be gone again
+// soon.
+func (c *Core) avoids(p *part, t *task, up *upstream) bool {
+	return p.step.LongRunning && p.isStarving(t, c.now) && !c.isSettled(up)
+}
+
 // runsServingTask reports whether a task with a tail latency limit runs on the upstream.
 func (u *upstream) runsServingTask() bool {
 	for _, r := range u.runs.all() {
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -101,6 +101,7 @@
 	}
 	if up.failedPolls > 0 {
 		c.Log("upstream answers again", "upstream", up.ID, "failed_looks", up.failedPolls)
+		up.regainedAt = c.now
 	}
 	up.failedPolls, up.lastResponseAt, up.nextPoll = 0, c.now, c.now+minPollInterval
 	up.answeredSeq = poll.seq
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -26,6 +26,7 @@
 	fencedAt        time.Duration
 	reached         bool          // it, or an earlier incarnation, has answered a poll of this owner
 	restartedAt     time.Duration // when this owner noticed its last restart; 0: none
+	regainedAt      time.Duration // when it answered a poll again after it had not; 0: it always has
 	reconciled      bool          // the runs that an earlier owner may have started there are known or have ended
 
 	cordoned     bool // excluded from placement because of its machine's upkeep or move
@@ -86,6 +87,12 @@
 // isOverCapacity reports whether the runs on the upstream take more than its capacity, which may have shrunk.
 func (u *upstream) isOverCapacity() bool { return !job.Resources{}.Fits(u.freeCapacity()) }
 
+// isSettled reports whether, as far as this owner knows, the upstream has been there and answered for the time of one lease. One
+// that has started anew or was silent often does so again soon.
+func (c *Core) isSettled(up *upstream) bool {
+	return c.now >= max(up.addedAt, up.restartedAt, up.regainedAt)+c.Lease
+}
+
 // estimateClock returns a lower bound of the upstream's current clock.
 func (u *upstream) estimateClock(now time.Duration) int64 {
 	return u.clockMS + int64(minClockRate*float64((now-u.clockAt).Milliseconds()))
