schedule: after a restart no lease outlasts the deadline of the call that grants it

Cause: a deadline is a time on the upstream's clock, which starts anew with each incarnation. A start with a deadline of 6 s on the clock of an incarnation that is 1 s old grants no lease beyond 6 s on that of the next. The bound did not use the deadline.

Change: the wait is the time until a call can arrive, and then the longest lease or the deadline, whichever is less, on the slowest clock. The deadline is that of the start itself, or of the poll in flight. This supposes that a clock begins at 0 or later; nothing is supposed of where the earlier one began.

Why it works: the upstream ends all runs when its clock has passed the deadline. The new incarnation may itself be followed by another within the time in which calls arrive, so that time comes first.

It does not mend TestTaskIsStartedAgainAfterAnUnansweredStart: its upstream is 10 s old at the start, so its deadline is beyond the longest lease.

Tests, failed before ('0 != 1' runs): TestUnansweredStartOfYoungUpstreamGrantsNoLongLease.

--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -40,7 +40,11 @@
 			"draining", entry.Draining, "cordoned", up.cordoned)
 	}
 	if up.StartedMS != 0 && entry.StartedMS != 0 && entry.StartedMS > up.StartedMS {
-		c.handleRestart(up, entry.StartedMS, up.polling && up.pollExtends)
+		var pollDeadline int64
+		if up.polling {
+			pollDeadline = up.pollDeadline
+		}
+		c.handleRestart(up, entry.StartedMS, pollDeadline)
 	}
 	if entry.Draining && !up.Draining {
 		c.Log("upstream draining", "upstream", entry.ID, "remaining_ms", entry.DrainRemaining.Milliseconds(), "runs", up.runs.len())
@@ -165,11 +169,11 @@
 }
 
 // handleRestart handles the restart of an upstream under the same ID: its earlier runs have ended, and the sequence
-// numbers of its ends begin again. pollArrives: the new incarnation may carry out a poll that extends the lease.
-func (c *Core) handleRestart(up *upstream, startedMS int64, pollArrives bool) {
+// numbers of its ends begin again. pollDeadline is the lease deadline of a poll that the new incarnation may carry out; 0: none.
+func (c *Core) handleRestart(up *upstream, startedMS int64, pollDeadline int64) {
 	c.noteLoss(up, true)
 	up.StartedMS = startedMS
-	c.allowForStaleDeadline(up, pollArrives)
+	c.allowForStaleDeadline(up, pollDeadline)
 	var mayStart []*run
 	for _, r := range up.runs.all() {
 		if r.mayStillStart() {
@@ -200,12 +204,22 @@
 // allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a poll that extends the lease is in
 // flight, or a copy of a start is not accounted for. The new incarnation may execute it, and the deadline is on the clock of the
 // earlier one. Stops and changes of pace carry no deadline.
-func (c *Core) allowForStaleDeadline(up *upstream, pollArrives bool) {
-	mayArrive := pollArrives
+func (c *Core) allowForStaleDeadline(up *upstream, pollDeadline int64) {
+	deadline := pollDeadline
 	for _, r := range up.runs.all() {
-		mayArrive = mayArrive || r.mayStillStart()
+		if r.mayStillStart() {
+			deadline = max(deadline, r.startDeadline)
+		}
 	}
-	if mayArrive {
-		up.minLeaseEnd = c.now + maxCommandTime + time.Duration(float64(c.Bounds.MaxLease)/minClockRate) + leaseSlack
+	if deadline > 0 {
+		up.minLeaseEnd = max(up.minLeaseEnd, c.now+c.longestStaleLease(deadline)+leaseSlack)
 	}
 }
+
+// longestStaleLease returns how long runs may go on, from when the restart of their upstream is known, if a new incarnation executes
+// a command with a deadline of the earlier clock: it does so within maxCommandTime, and its runs then last for the platform's
+// longest lease, but only until its own clock, which has begun at 0 or later, shows the deadline.
+func (c *Core) longestStaleLease(deadlineMS int64) time.Duration {
+	lease := min(c.Bounds.MaxLease, time.Duration(deadlineMS)*time.Millisecond)
+	return maxCommandTime + time.Duration(float64(lease)/minClockRate)
+}
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -26,13 +26,13 @@
 		up.polling = true
 		up.pollSeq++
 		up.polledAt = c.now
-		up.pollExtends = false
+		up.pollDeadline = 0
 		request := platform.PollRequest{Token: c.Token, AckedSeq: up.ackable}
 		// A poll does not extend the lease of an upstream that does not answer, because its runs have to end at a
 		// known time.
 		if up.runs.len() > 0 && up.fenced && up.failedPolls == 0 && c.mayExtendLease(up) {
 			request.DeadlineMS = c.extendLease(up)
-			up.pollExtends = true
+			up.pollDeadline = request.DeadlineMS
 			request.Wait = maxPollWait
 			if up.ackable > up.ackConfirmed {
 				request.Wait = maxPollWait / 2
@@ -109,7 +109,7 @@
 		return // late response from before a restart
 	}
 	if result.StartedMS != 0 && up.StartedMS != 0 && result.StartedMS > up.StartedMS {
-		c.handleRestart(up, result.StartedMS, up.pollExtends) // the new incarnation has carried out the poll
+		c.handleRestart(up, result.StartedMS, up.pollDeadline) // the new incarnation has carried out the poll
 	}
 	if result.StartedMS != 0 {
 		up.StartedMS = result.StartedMS
--- a/schedule/restart_test.go
+++ b/schedule/restart_test.go
@@ -164,3 +164,26 @@
 	f.live(2500 * time.Millisecond)
 	is.Equal(f.runsOf(id), 1)
 }
+
+// Guards against a wait for the platform's longest lease that the unanswered start cannot grant: its deadline is an absolute time,
+// which the clock of the next incarnation, which starts anew, reaches sooner.
+func TestUnansweredStartOfYoungUpstreamGrantsNoLongLease(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.bornAt["u-1"] = f.now
+	f.restart("u-1")
+	f.live(200 * time.Millisecond)
+	f.drops, f.losesAnswers = true, 1
+	id := f.addJob(1, lasting(1, 1000))
+	f.live(100 * time.Millisecond)
+	is.Equal(f.startsSent, 1)
+	target, deadline := f.lastStart.Target.ID, time.Duration(f.lastStart.Command.DeadlineMS)*time.Millisecond
+	is.Equal(target, "u-1")
+	is.True(deadline < testLease+time.Second)
+	f.drops = false
+	f.restartAndLose("u-1")
+	f.live(deadline + 1500*time.Millisecond)
+	is.Equal(f.runsOf(id), 0) // a new incarnation may begin, and carry it out, 1.5 s after the restart is known
+	f.live(time.Second)
+	is.Equal(f.runsOf(id), 1)
+}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -45,8 +45,9 @@
 	stoppedAt       time.Duration // when the stop was answered
 	// lostStarts counts the copies of the start that got no answer. The upstream may still carry them out at any time.
 	lostStarts    int
-	startInFlight bool // a copy of the start is in flight
-	startAnswered bool // a copy of the start was answered with success
+	startInFlight bool  // a copy of the start is in flight
+	startAnswered bool  // a copy of the start was answered with success
+	startDeadline int64 // latest deadline of its copies, on the clock of the incarnation for which they were meant
 
 	progress      int // percent; 100 for a long-running task that has finished its start-up
 	confirmedPace int // percent, as confirmed by the upstream
@@ -147,9 +148,10 @@
 func (c *Core) sendStart(r *run, ticket string) {
 	r.commandInFlight, r.startInFlight = true, true
 	r.state = runStarting
+	r.startDeadline = c.extendLease(r.up)
 	c.window.inFlight++
 	c.calls = append(c.calls, Start{sentAt: c.now, Target: r.up.target(), Command: platform.StartCommand{
-		Task: r.id(), Attempt: r.attempt, Spec: r.part.job.Spec, DeadlineMS: c.extendLease(r.up), Token: c.Token,
+		Task: r.id(), Attempt: r.attempt, Spec: r.part.job.Spec, DeadlineMS: r.startDeadline, Token: c.Token,
 		Checkpoint: r.checkpoint, Ticket: ticket,
 	}})
 }
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -43,7 +43,7 @@
 	minLeaseEnd time.Duration
 
 	polling        bool
-	pollExtends    bool   // the poll in flight extends the lease
+	pollDeadline   int64  // lease deadline in the poll in flight; 0: it does not extend the lease
 	fencing        bool   // the poll in flight is counted in Core.fencing
 	pollSeq        uint64 // of the last poll that was sent
 	answeredSeq    uint64 // of the last poll that was answered
