schedule: a record of unreached upstreams stays readable in large fleets

What callers could see: after a takeover by a series of owners, tasks of unreached upstreams wait for the lease from each claim again, if more than 1,024 upstreams were not reached at the first record. Found by a test; not seen.

Cause: the decoder takes maps of up to 1,024 pairs (job.Decode), the record had no such limit, so the next owner found it unreadable.

Change: a record names 1,000 upstreams at most. The leases of the others are counted from the next claim, which is safe.

Test, failed before ('exceeded max number of key-value pairs 1024'): TestUnreachedRecordOfLargeFleetIsRead.

--- a/schedule/unreached.go
+++ b/schedule/unreached.go
@@ -10,6 +10,10 @@
 // takeovers reach all upstreams before the first one.
 const unreachedInterval = 500 * time.Millisecond
 
+// maxUnreached is the largest number of unreached upstreams in a record, for which the decoder takes 1,024 pairs. The leases of the
+// others are counted from the next claim.
+const maxUnreached = 1000
+
 // UnreachedUpstreams are the upstreams on which no owner has extended a lease since the record was made.
 type UnreachedUpstreams struct {
 	Generation  uint64           `cbor:"1,keyasint"` // of the owner that made the record
@@ -85,7 +89,7 @@
 	earlier := r.named
 	r.named = map[string]bool{}
 	for id, up := range c.upstreams.all() {
-		if up.isUnreached() {
+		if up.isUnreached() && len(r.named) < maxUnreached {
 			r.named[id] = true
 			record.LeaseLeftMS[id] = max(up.lastLeaseEnd()-c.now, 0).Milliseconds()
 		}
--- a/schedule/unreached_test.go
+++ b/schedule/unreached_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -129,3 +130,22 @@
 	is.True(reached)
 	is.Equal(h.core.Stats().Requeued, 0)
 }
+
+// Guards against a record with more upstreams than the decoder takes: the leases were counted from each claim again.
+func TestUnreachedRecordOfLargeFleetIsRead(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.claim(nil)
+	for i := range 1500 {
+		h.core.InheritUpstream(upstreamEntry(fmt.Sprint("u-", i), 16000))
+	}
+	h.advance(time.Second)
+	h.core.Decide()
+	batch := h.core.TakeRecords()
+	is.True(batch.Unreached != nil)
+	data, err := job.Encode(batch.Unreached)
+	is.NoErr(err)
+	var read schedule.UnreachedUpstreams
+	is.NoErr(job.Decode(data, &read))
+	is.True(len(read.LeaseLeftMS) > 500)
+}
