--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -43,9 +43,11 @@
 	retryAt         time.Duration
 	commandInFlight bool          // a command for the run is in flight
 	stoppedAt       time.Duration // when the stop was answered
-	// startUnresolved is set once a copy of the start was not answered. The upstream may still carry that copy out at
-	// any time.
-	startUnresolved bool
+	// lostStarts counts the copies of the start that got no answer. The upstream may still carry them out at any time.
+	lostStarts    int
+	startInFlight bool  // a copy of the start is in flight
+	startAnswered bool  // a copy of the start was answered with success
+	startDeadline int64 // latest deadline of its copies, on the clock of the incarnation for which they were meant
 
 	progress      int // percent; 100 for a long-running task that has finished its start-up
 	confirmedPace int // percent, as confirmed by the upstream
@@ -64,9 +66,17 @@
 
 func (r *run) task() *task { return &r.part.tasks[r.index] }
 
-// mayStillStart reports whether a copy of the run's start is in flight or was not answered.
+// mayStillStart reports whether a copy of the run's start may still be carried out: one that is in flight or got no answer, and
+// is not known to be the one that the upstream has carried out, as its list shows.
 func (r *run) mayStillStart() bool {
-	return r.startUnresolved || r.commandInFlight && r.state == runStarting
+	copies := r.lostStarts
+	if r.startInFlight {
+		copies++
+	}
+	if r.lastListed > 0 && !r.startAnswered {
+		copies--
+	}
+	return copies > 0
 }
 
 func (r *run) id() job.TaskID { return r.part.taskID(r.index) }
@@ -142,11 +152,12 @@
 }
 
 func (c *Core) sendStart(r *run, ticket string) {
-	r.commandInFlight = true
+	r.commandInFlight, r.startInFlight = true, true
 	r.state = runStarting
+	r.startDeadline = c.extendLease(r.up)
 	c.window.inFlight++
 	c.calls = append(c.calls, Start{sentAt: c.now, Target: r.up.target(), Command: platform.StartCommand{
-		Task: r.id(), Attempt: r.attempt, Spec: r.part.job.Spec, DeadlineMS: c.extendLease(r.up), Token: c.Token,
+		Task: r.id(), Attempt: r.attempt, Spec: r.part.job.Spec, DeadlineMS: r.startDeadline, Token: c.Token,
 		Checkpoint: r.checkpoint, Ticket: ticket,
 	}})
 }
@@ -221,7 +232,10 @@
 		c.detach(r)
 		return
 	}
-	r.startUnresolved = r.mayStillStart()
+	c.beginStop(r)
+}
+
+func (c *Core) beginStop(r *run) {
 	r.state, r.unanswered = runStopping, 0
 	c.unresolvedRuns.set(r, struct{}{})
 	c.sendStop(r)
@@ -229,7 +243,7 @@
 
 func (c *Core) sendStop(r *run) {
 	r.commandInFlight = true
-	c.calls = append(c.calls, Stop{Target: r.up.target(), Command: platform.StopCommand{
+	c.calls = append(c.calls, Stop{Target: r.up.target(), startedMS: r.up.StartedMS, Command: platform.StopCommand{
 		Task: r.id(), Attempt: r.attempt, Token: c.Token,
 	}})
 }
@@ -300,27 +314,29 @@
 	if r == nil {
 		return
 	}
+	r.startInFlight = false
 	var rejected *platform.RejectedError
 	switch {
 	case err == nil:
+		r.startAnswered = true
 		c.noteBegun(r)
 		if r.state == runStarting || r.state == runUnknown {
 			r.state = runRunning
 		}
 	case errors.As(err, &rejected):
 		c.startRejected(r, rejected)
-	case errors.Is(err, platform.ErrConnectionsBusy) && r.startUnresolved && r.state == runStarting:
+	case errors.Is(err, platform.ErrConnectionsBusy) && r.lostStarts > 0 && r.state == runStarting:
 		c.startUnanswered(r, err) // the upstream is not at fault, and an earlier copy may have been carried out
 	case errors.Is(err, platform.ErrNotExecuted):
 		r.up.suspend(c, "no connection")
 		c.startNotExecuted(r, "start was not sent")
 	default:
+		r.lostStarts++
 		c.startUnanswered(r, err)
 	}
 }
 
 func (c *Core) startUnanswered(r *run, err error) {
-	r.startUnresolved = true
 	r.up.noteUnanswered(c.now)
 	if r.state == runStarting {
 		r.state = runUnknown
@@ -361,7 +377,7 @@
 // startNotExecuted handles a start that had no effect. If an earlier copy was not answered, that copy may still be
 // carried out; the run is then stopped, after which the upstream rejects every copy of the start.
 func (c *Core) startNotExecuted(r *run, reason string) {
-	if r.startUnresolved {
+	if r.lostStarts > 0 {
 		c.stopRun(r, reason+", and an earlier copy got no answer")
 		return
 	}
@@ -379,15 +395,16 @@
 		return
 	}
 	var rejected *platform.RejectedError
+	isStopped := err == nil || errors.As(err, &rejected) && rejected.Reason == platform.RejectedOldAttempt
 	switch {
-	case err == nil:
+	case isStopped && stop.startedMS == r.up.StartedMS:
 		r.state, r.stoppedAt = runStopped, c.now
+	case isStopped: // an earlier incarnation may have answered
+		r.scheduleRetry(c.now)
 	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedFence:
 		c.superseded = true
 	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedOtherInstance:
 		c.handleReplaced(r.up)
-	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedOldAttempt:
-		r.state, r.stoppedAt = runStopped, c.now
 	default:
 		r.scheduleRetry(c.now)
 		if r.unanswered == 1 {
--- a/schedule/unreached.go
+++ b/schedule/unreached.go
@@ -11,8 +11,9 @@
 	// unreachedInterval is the time between the claim and the first record of unreached upstreams, and between two records, and how
 	// long an upstream has to be silent to be named. Most takeovers reach all upstreams before the first record.
 	unreachedInterval = 500 * time.Millisecond
-	// maxUnreached bounds the size of the record.
-	maxUnreached = 1000 // upstreams
+	// maxUnreached is the largest number of upstreams in a record, for which the decoder takes 1,024 pairs. The leases of the others
+	// are counted from the end of the ownership.
+	maxUnreached = 1000
 )
 
 // UnreachedUpstreams are the upstreams on which no owner has extended a lease since the record was made.
