schedule, owner, ledger: the next owner knows of leases that last longer than it would count

Cause: after a restart of an upstream with a start that is not accounted for, the owner waits for the platform's longest lease. The next owner, another process, counts one lease or less.

It is marked for the next write when the restart is known, and made again every 0.5 s while it names upstreams; any later owner applies it and hands it on. A key of its own, since earlier builds reject records with unknown fields.

Not covered: an owner that ends between the restart and the write of the record.

The test is changed in one respect: its next owner reads what the owner before has stored; before, it read nothing, so that no record could have passed it. The bound is the same.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -13,6 +13,7 @@
 //	cg/roster           all of these upstreams in one record, as earlier versions stored them
 //	cg/ordered          machines for which the owner may have sent commands
 //	cg/unreached        upstreams that the owner has not reached since its claim, with the rest of their leases
+//	cg/longleases       upstreams whose leases may last longer than the next owner would count, with their rest
 //	cg/pending          for each queue, the number of jobs of which no task has begun
 //	cg/wave/N           progress of a maintenance wave
 package ledger
@@ -39,6 +40,7 @@
 	oldRosterKey   = "cg/roster"
 	commandedKey   = "cg/ordered"
 	unreachedKey   = "cg/unreached"
+	longLeasesKey  = "cg/longleases"
 	pendingKey     = "cg/pending"
 	wavePrefix     = "cg/wave/"
 	cancelSuffix   = "/cancel"
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -352,6 +352,21 @@
 	return job.Decode(item.Value, commanded)
 }
 
+// LongLeasesWrite returns the write that stores the upstreams whose leases may last longer than the next owner would count.
+func LongLeasesWrite(longLeases any) (platform.Write, error) {
+	value, err := job.Encode(longLeases)
+	return platform.Write{Key: longLeasesKey, Value: value}, err
+}
+
+// LongLeases decodes the record of LongLeasesWrite into longLeases, which stays unchanged if there is none.
+func (l *Ledger) LongLeases(ctx context.Context, longLeases any, timeout time.Duration) error {
+	item, err := l.kv.Get(ctx, longLeasesKey, timeout)
+	if err != nil || item.Revision == 0 {
+		return err
+	}
+	return job.Decode(item.Value, longLeases)
+}
+
 // DecodeOwner decodes the owner's item. It returns an empty record if the key does not exist.
 func DecodeOwner(item platform.Item) (OwnerRecord, error) {
 	var record OwnerRecord
--- a/owner/load.go
+++ b/owner/load.go
@@ -34,6 +34,7 @@
 			return err
 		},
 		func() error { return s.readUnreached(ctx) },
+		func() error { return s.readLongLeases(ctx) },
 		func() error { return s.readCommandedMachines(ctx) },
 		func() (err error) {
 			upstreamsRevision, err = s.readPrefix(ctx, platform.UpstreamPrefix, s.setUpstreams)
@@ -105,6 +106,22 @@
 	return nil
 }
 
+// readLongLeases reads on which upstreams of the roster leases may last longer than this owner would count from its claim.
+func (s *session) readLongLeases(ctx context.Context) error {
+	var longLeases schedule.LongLeases
+	err := s.Ledger.LongLeases(ctx, &longLeases, readTimeout)
+	if errors.Is(err, job.ErrBadRecord) {
+		s.Log("unreadable record of long leases", "error", err.Error())
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.core.SetTime(clock.Now(), clock.WallMS()) // the rest of a lease counts from the read
+	s.core.InheritLongLeases(longLeases)
+	return nil
+}
+
 // readCommandedMachines reads for which machines an earlier owner may have sent commands. If the record is
 // unreadable, the earlier owner may have sent one for any machine.
 func (s *session) readCommandedMachines(ctx context.Context) error {
--- a/owner/store.go
+++ b/owner/store.go
@@ -109,6 +109,13 @@
 		}
 		b.set(write)
 	}
+	if batch.LongLeases != nil {
+		write, err := ledger.LongLeasesWrite(batch.LongLeases)
+		if err != nil {
+			return nil, err
+		}
+		b.set(write)
+	}
 	if pending != nil {
 		write, err := ledger.PendingWrite(pending, clock.WallMS())
 		if err != nil {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -110,6 +110,7 @@
 	unknownCommands   bool // an earlier owner may have sent commands for any machine
 
 	unreached   unreachedRecord
+	longLeases  longLeaseRecord
 	losses      []*loss             // of upstreams, in the order in which they were noted
 	rackHolders map[poolPlace]*task // the tasks for which racks are closed to others, as of the current round of placement
 
@@ -343,6 +344,7 @@
 	c.addDueOccurrences()
 	c.expireLeases()
 	c.reviewUnreached()
+	c.reviewLongLeases()
 	c.judgeLosses()
 	c.markBegunJobs()
 	if c.now >= c.nextReview {
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -199,6 +199,7 @@
 	up.cordoned = c.mayEndByCommand(up)
 	up.nextPoll = c.now
 	up.health = health{}
+	c.noteLongLease(up)
 }
 
 // allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a poll that extends the lease is in
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -30,6 +30,7 @@
 	generation uint64 // number of claims
 	// earlierEnded is when the next claim takes the ownership before it for ended; 0: at the claim.
 	earlierEnded time.Duration
+	longLeases   schedule.LongLeases // as stored
 }
 
 func newHarness(t *testing.T) *harness {
@@ -73,6 +74,13 @@
 	}
 }
 
+// storeLongLeases stores the batch's record of long leases, if it has one.
+func (h *harness) storeLongLeases(batch schedule.RecordBatch) {
+	if batch.LongLeases != nil {
+		h.longLeases = *batch.LongLeases
+	}
+}
+
 // callsOf returns the calls of one kind.
 func callsOf[T schedule.Call](calls []schedule.Call) []T {
 	var found []T
--- a/schedule/records.go
+++ b/schedule/records.go
@@ -19,6 +19,7 @@
 	Jobs              []Record
 	CommandedMachines *CommandedMachines  // nil: unchanged
 	Unreached         *UnreachedUpstreams // nil: unchanged
+	LongLeases        *LongLeases         // nil: unchanged
 }
 
 // markDirty marks a job's progress for storing.
@@ -57,7 +58,9 @@
 func (c *Core) TakeRecords() RecordBatch {
 	c.lastBatch++
 	c.takenAt = c.now
-	batch := RecordBatch{Number: c.lastBatch, CommandedMachines: c.takeCommandedMachines(), Unreached: c.takeUnreached()}
+	batch := RecordBatch{
+		Number: c.lastBatch, CommandedMachines: c.takeCommandedMachines(), Unreached: c.takeUnreached(), LongLeases: c.takeLongLeases(),
+	}
 	for id, j := range c.dirty.all() {
 		batch.Jobs = append(batch.Jobs, Record{ID: id, Progress: c.snapshot(j)})
 		c.dirty.delete(id)
@@ -89,7 +92,7 @@
 
 // HasUnstoredRecords reports whether TakeRecords would return any records.
 func (c *Core) HasUnstoredRecords() bool {
-	if c.dirty.len() > 0 || c.commandsDirty || c.unreached.dirty {
+	if c.dirty.len() > 0 || c.commandsDirty || c.unreached.dirty || c.longLeases.dirty {
 		return true
 	}
 	horizon := c.wallMS - retentionFactor*c.Bounds.Retention.Milliseconds()
--- a/schedule/reviewed_test.go
+++ b/schedule/reviewed_test.go
@@ -381,30 +381,7 @@
 func TestNextOwnerAllowsForTheLongLeaseAfterARestart(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t)
-	h.addUpstream("u-1")
-	h.addJob(1, lasting(1, 1000))
-	restartAt := time.Duration(0)
-	for end := h.now + time.Second; h.now < end; h.advance(50 * time.Millisecond) {
-		for _, call := range h.core.Decide() {
-			switch call := call.(type) {
-			case schedule.Start:
-				h.core.HandleStartResult(call, 0, lostStart)
-				restartAt = h.now
-				entry := upstreamEntry("u-1", 16000)
-				entry.StartedMS = 2
-				h.core.SetUpstream(entry)
-			case schedule.Stop:
-				h.core.HandleStopResult(call, 0, lostStart)
-			case schedule.Poll:
-				if restartAt > 0 {
-					h.core.HandlePollResult(call, platform.PollResult{}, lostStart)
-				} else {
-					h.answerPoll(call, platform.PollResult{})
-				}
-			}
-		}
-		h.core.RecordsStored(h.core.TakeRecords().Number)
-	}
+	restartAt := h.loseStartAndRestart("u-1")
 	is.True(restartAt > 0)
 	is.True(h.core.LeaseEnds()["u-1"] > restartAt+testBounds.MaxLease) // what this owner knows
 	h.runUnreachedAs("u-1", 12*time.Second, func() {
@@ -412,10 +389,12 @@
 	})
 }
 
-// runUnreachedAs is runUnreached without a record, for an upstream that was started anew.
+// runUnreachedAs is runUnreached without a record of unreached upstreams, for an upstream that was started anew. The previous owner
+// has stored its entry from before the restart and the record of long leases.
 func (h *harness) runUnreachedAs(id string, d time.Duration, onStart func()) {
 	h.claim(nil)
 	h.core.InheritUpstream(upstreamEntry(id, 16000))
+	h.core.InheritLongLeases(h.longLeases)
 	h.addUpstream("u-9")
 	progress := job.Progress{Phase: job.Active, Parts: []job.PartProgress{{}}}
 	progress.Parts[0].RecordPlacement(0, id)
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -90,6 +90,7 @@
 	}
 	t.lastAttempt = attempt
 	c.attach(r)
+	c.noteLongLease(up)
 	up.health.noteStart(r)
 	c.stats.Starts++
 	c.Log("start", "job", p.job.ID, "task", r.id().String(), "attempt", attempt, "upstream", up.ID,
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -26,6 +26,7 @@
 	revision       uint64
 	stored         map[job.ID]*storedJob
 	unreached      schedule.UnreachedUpstreams
+	longLeases     schedule.LongLeases
 	submitted      []job.ID
 	roster         []platform.Upstream
 	nextGeneration uint64
@@ -177,6 +178,7 @@
 		o.core.InheritUpstream(entry)
 	}
 	o.core.InheritUnreached(sim.unreached)
+	o.core.InheritLongLeases(sim.longLeases)
 	for _, u := range sim.upstreams {
 		if !u.dead && !u.unlisted {
 			o.core.SetUpstream(u.entry())
@@ -281,6 +283,9 @@
 		if batch.Unreached != nil {
 			sim.unreached = *batch.Unreached
 		}
+		if batch.LongLeases != nil {
+			sim.longLeases = *batch.LongLeases
+		}
 		for _, record := range batch.Jobs {
 			if record.Remove {
 				sim.checkRemoval(sim.stored[record.ID])
--- a/schedule/unreached_test.go
+++ b/schedule/unreached_test.go
@@ -18,6 +18,7 @@
 	h.claim(nil)
 	h.core.InheritUpstream(upstreamEntry("u-gone", 16000))
 	h.core.InheritUnreached(record)
+	h.core.InheritLongLeases(h.longLeases)
 	h.addUpstream("u-1")
 	progress := job.Progress{Phase: job.Active, Parts: []job.PartProgress{{}}}
 	progress.Parts[0].RecordPlacement(0, "u-gone")
@@ -27,6 +28,7 @@
 		if h.core.HasUnstoredRecords() {
 			batch := h.core.TakeRecords()
 			h.core.RecordsStored(batch.Number)
+			h.storeLongLeases(batch)
 			if batch.Unreached != nil {
 				record = *batch.Unreached
 			}
