--- a/schedule/givenback_test.go
+++ b/schedule/givenback_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/schedule"
 )
@@ -63,3 +64,71 @@
 	}
 	is.True(sent)
 }
+
+// Guards against a wave that gives a machine back for ever to a gang of long-running tasks that has room there for one of them only.
+func TestMachineIsNotGivenBackToAGangThatDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.addJob(1, lasting(2, 16000))
+	f.live(time.Second)
+	gang := lasting(2, 16000)
+	gang.Gang = true
+	f.addJob(2, gang)
+	f.live(6 * time.Second)
+	f.core.SetWaves(testWave(1, "m-u-3"), nil)
+	f.listMachines("u-1", "u-2", "u-3")
+	is.True(f.liveWithUpkeep(40 * time.Second)) // twice the wave's time
+}
+
+// drainInVain has a wave drain an upstream with four tasks, two of which may be away, while one finds another place. It returns their
+// job and the one whose end makes room.
+func drainInVain(f *fleet) (id, other job.ID) {
+	other = f.addJob(1, lastingGold(1, 12000))
+	f.live(time.Second)
+	filler := f.addJob(2, lastingGold(1, 4000))
+	f.live(time.Second)
+	step := lastingGold(4, 4000)
+	step.MaxUnavailable = 2
+	id = f.addJob(3, step)
+	f.live(time.Second)
+	f.core.Cancel(filler)
+	f.live(time.Second)
+	drained := "u-1"
+	if len(f.running["u-1"]) < len(f.running["u-2"]) {
+		drained = "u-2"
+	}
+	f.core.SetWaves(testWave(1, "m-"+drained), nil)
+	f.listMachines("u-1", "u-2", "u-3", "u-4")
+	return id, other
+}
+
+// Guards against a drain that ends the work of the same tasks again and again although nothing has changed since it was given back.
+func TestDrainThatWasGivenBackStopsNoTasksInVainAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, append(gold(entries("u-1", "u-2")), entries("u-3", "u-4")...)...)
+	id, _ := drainInVain(f)
+	f.live(mostWait)
+	is.Equal(f.runsOf(id), 4) // given back
+	for range 40 {
+		f.live(500 * time.Millisecond)
+		is.Equal(f.runsOf(id), 4)
+	}
+}
+
+// Guards against a wave that does not drain a machine again which it gave back, once there is room for its tasks.
+func TestDrainIsResumedAfterItWasGivenBack(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, append(gold(entries("u-1", "u-2")), entries("u-3", "u-4")...)...)
+	givenBack := false
+	log := f.core.Log
+	f.core.Log = func(event string, fields ...any) {
+		givenBack = givenBack || event == "drain ended: a long-running task has no other place"
+		log(event, fields...)
+	}
+	id, other := drainInVain(f)
+	f.live(mostWait)
+	is.True(givenBack)
+	is.Equal(f.runsOf(id), 4)
+	f.core.Cancel(other)
+	is.True(f.liveWithUpkeep(30 * time.Second))
+}
