ledger: a claim takes no more round trips than before, and no optional read fails it

Cause: the terms and the record of unreached upstreams added two calls in a row to a claim, whose lease is running, and a read of the terms that failed ended it. Change: owner and chain are read together, then terms and record together; terms that cannot be read are unknown. A rejected release is repeated.

--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
 	"citrongauge.example/citrongauge/clock"
 	"citrongauge.example/citrongauge/job"
@@ -77,24 +78,21 @@
 		if self.Generation, err = nextGeneration(chain); err != nil {
 			return nil, err
 		}
-		var earlierLease time.Duration
-		if owner.Revision == 0 && self.Generation > 0 {
-			if earlierLease, err = l.readTerms(ctx, self.Generation-1, timeout); err != nil {
-				return nil, err
-			}
-		}
-		unreached, err := l.takeOverUnreached(ctx, self.Generation, timeout)
+		earlier, err := l.readEarlier(ctx, self.Generation, timeout)
 		if err != nil {
 			return nil, err
 		}
-		revision, err := l.writeClaim(ctx, self, owner.Revision, chain.Revision, lease, unreached, timeout)
+		revision, err := l.writeClaim(ctx, self, owner.Revision, chain.Revision, lease, earlier.unreached, timeout)
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
-			return &Ownership{
-				ledger: l, Generation: self.Generation, Token: revision, Lease: lease, EarlierLease: earlierLease, process: self.Process,
-				chainRevision: revision,
-			}, nil
+			taken := &Ownership{
+				ledger: l, Generation: self.Generation, Token: revision, Lease: lease, process: self.Process, chainRevision: revision,
+			}
+			if owner.Revision == 0 { // its key has expired
+				taken.EarlierLease = earlier.lease
+			}
+			return taken, nil
 		case errors.As(err, &conflict), errors.Is(err, platform.ErrOutcomeUnknown):
 			continue // the next read shows whether this claim succeeded
 		default:
@@ -106,19 +104,46 @@
 
 // readClaim reads the owner's record and cg/chain.
 func (l *Ledger) readClaim(ctx context.Context, timeout time.Duration) (owner, chain platform.Item, err error) {
-	read := func(key string) (item platform.Item, err error) {
-		err = RepeatRejected(ctx, func() error {
-			item, err = l.kv.Get(ctx, key, timeout)
-			return err
-		})
-		return item, err
-	}
-	if owner, err = read(OwnerKey); err == nil {
-		chain, err = read(chainKey)
+	read := func(key string, item *platform.Item) func() error {
+		return func() error {
+			return RepeatRejected(ctx, func() (err error) {
+				*item, err = l.kv.Get(ctx, key, timeout)
+				return err
+			})
+		}
 	}
+	var reads errgroup.Group // a claim takes as few round trips as it can: its lease is running
+	reads.Go(read(OwnerKey, &owner))
+	reads.Go(read(chainKey, &chain))
+	err = reads.Wait()
 	return owner, chain, err
 }
 
+// earlierState is what a claim takes over from the ownership before.
+type earlierState struct {
+	unreached []platform.Write
+	lease     time.Duration // see Ownership.EarlierLease
+}
+
+// readEarlier reads what the ownership before a generation has left. It has to be called after cg/chain has been read, so that the
+// claim fails if an earlier owner writes meanwhile.
+func (l *Ledger) readEarlier(ctx context.Context, generation uint64, timeout time.Duration) (earlier earlierState, err error) {
+	if generation == 0 {
+		return earlier, nil
+	}
+	var reads errgroup.Group
+	reads.Go(func() (err error) {
+		earlier.unreached, err = l.takeOverUnreached(ctx, generation, timeout)
+		return err
+	})
+	reads.Go(func() error {
+		earlier.lease = l.readTerms(ctx, generation-1, timeout)
+		return nil
+	})
+	err = reads.Wait()
+	return earlier, err
+}
+
 // RepeatRejected repeats a call that the store rejects until ctx ends.
 func RepeatRejected(ctx context.Context, call func() error) error {
 	for {
--- a/ledger/terms.go
+++ b/ledger/terms.go
@@ -24,17 +24,19 @@
 	return platform.Write{Key: termsKey, Value: value}, err
 }
 
-// readTerms returns the LeaseAfterExpiryMS of the given generation's owner; 0 if it is not known.
-func (l *Ledger) readTerms(ctx context.Context, generation uint64, timeout time.Duration) (time.Duration, error) {
-	item, err := l.kv.Get(ctx, termsKey, timeout)
-	if err != nil || item.Revision == 0 {
-		return 0, err
-	}
+// readTerms returns the LeaseAfterExpiryMS of the given generation's owner; 0 if it is not known, or cannot be read: then the next
+// owner waits for longer.
+func (l *Ledger) readTerms(ctx context.Context, generation uint64, timeout time.Duration) time.Duration {
+	var item platform.Item
+	err := RepeatRejected(ctx, func() (err error) {
+		item, err = l.kv.Get(ctx, termsKey, timeout)
+		return err
+	})
 	var record termsRecord
-	if err := job.Decode(item.Value, &record); err != nil || record.Generation != generation {
-		return 0, nil // of another owner, or unreadable: then nothing is known
+	if err != nil || item.Revision == 0 || job.Decode(item.Value, &record) != nil || record.Generation != generation {
+		return 0
 	}
-	return time.Duration(record.LeaseAfterExpiryMS) * time.Millisecond, nil
+	return time.Duration(record.LeaseAfterExpiryMS) * time.Millisecond
 }
 
 // maxReleaseAttempts bounds how often a release is sent that conflicts with a write that was still in flight.
@@ -44,7 +46,11 @@
 // for expired. After an error the key has to expire.
 func (o *Ownership) Release(ctx context.Context, timeout time.Duration) error {
 	for range maxReleaseAttempts {
-		chain, err := o.ledger.kv.Get(ctx, chainKey, timeout)
+		var chain platform.Item
+		err := RepeatRejected(ctx, func() (err error) {
+			chain, err = o.ledger.kv.Get(ctx, chainKey, timeout)
+			return err
+		})
 		if err != nil {
 			return err
 		}
@@ -55,11 +61,15 @@
 		if record.Generation != o.Generation {
 			return ErrOwnershipLost
 		}
-		_, err = o.ledger.kv.Txn(ctx, platform.Txn{
+		txn := platform.Txn{
 			If:     []platform.Condition{{Key: chainKey, Revision: chain.Revision}},
 			Set:    []platform.Write{{Key: chainKey, Value: chain.Value}},
 			Remove: []string{OwnerKey, termsKey},
-		}, timeout)
+		}
+		err = RepeatRejected(ctx, func() error {
+			_, err := o.ledger.kv.Txn(ctx, txn, timeout)
+			return err
+		})
 		if _, conflicts := errors.Into[*platform.ConflictError](err); !conflicts {
 			return err
 		}
