schedule: a drain is given back only to tasks that can run there, and not begun again in vain; reported leases are exact

Cause: hasPlace looked at the free room only; commands of other waves were not looked at; a machine that was given back was drained again whatever had changed; rests of leases that were reported or recorded could only shorten the wait. Change: see hasPlace, haveOtherPlaces, InheritLeases and InheritUnreached, whose rest counts from the end of the ownership before.

--- a/owner/load.go
+++ b/owner/load.go
@@ -90,7 +90,7 @@
 }
 
 // readUnreached reads which upstreams of the roster the previous owner had not reached. Without a readable record their leases
-// are counted from the claim.
+// are counted from the end of the ownership before, as far as that is known.
 func (s *session) readUnreached(ctx context.Context) error {
 	var unreached schedule.UnreachedUpstreams
 	err := s.Ledger.Unreached(ctx, &unreached, readTimeout)
--- a/schedule/drains.go
+++ b/schedule/drains.go
@@ -51,9 +51,11 @@
 		if m.state != machineWaiting || c.now < m.retryAt || !c.mayCommand(m.name) || c.moves.get(m.name) != nil || !c.isReachable(m) {
 			continue
 		}
-		if c.inheritedCommands[m.name] {
+		switch up := c.upstreamOf(m.name); {
+		case c.inheritedCommands[m.name]:
 			c.beginDrain(w, m)
-		} else {
+		case m.givenBack && up != nil && !c.haveOtherPlaces(up): // its tasks would be stopped in vain again
+		default:
 			waiting = append(waiting, m)
 		}
 	}
@@ -230,15 +232,62 @@
 	})
 }
 
-// hasPlace reports whether the upstream has room for another task of the part.
+// hasPlace reports whether the drained upstream would take another task of the part, or a whole gang, if it were not drained.
 func (c *Core) hasPlace(p *part, up *upstream) bool {
-	return p.job.team.allows(p.step.Request) && p.step.ReservedResources().Fits(up.freeCapacity()) && c.admits(p, up) &&
-		(p.step.MaxPerUpstream == 0 || p.perUpstream[up.ID] < p.step.MaxPerUpstream)
+	tasks := 1
+	if p.step.Gang {
+		tasks = len(p.tasks)
+	}
+	return p.job.team.allows(p.step.Request) && c.isReadyButForDrain(up) && !up.health.isExcluded(c.now) && !up.isHeld(c.now) &&
+		c.admits(p, up) && p.fitsOn(up, up.freeCapacity(), tasks)
+}
+
+// fitsOn reports whether a number of the part's tasks fit on the upstream, which has the given room.
+func (p *part) fitsOn(up *upstream, room job.Resources, tasks int) bool {
+	total := job.Resources{}
+	for range tasks {
+		total = total.Add(p.step.ReservedResources())
+	}
+	return total.Fits(room) && (p.step.MaxPerUpstream == 0 || p.perUpstream[up.ID]+tasks <= p.step.MaxPerUpstream)
+}
+
+// place is an upstream and the room that is left on it.
+type place struct {
+	upstream *upstream
+	room     job.Resources
+}
+
+// haveOtherPlaces reports whether each long-running task on the upstream would find a place on another one.
+func (c *Core) haveOtherPlaces(up *upstream) bool {
+	var places []place
+	for _, other := range c.usable(c.pool(up.Pool)) {
+		if other != up {
+			places = append(places, place{other, other.freeCapacity()})
+		}
+	}
+	for _, r := range up.runs.all() {
+		if r.part.step.LongRunning && !c.takePlace(r.part, places) {
+			return false
+		}
+	}
+	return true
+}
+
+// takePlace takes the room for one task of the part from the first place that has it, and reports whether there is one.
+func (c *Core) takePlace(p *part, places []place) bool {
+	for i := range places {
+		other := &places[i]
+		if c.admits(p, other.upstream) && p.fitsOn(other.upstream, other.room, 1) {
+			other.room = other.room.Sub(p.step.ReservedResources())
+			return true
+		}
+	}
+	return false
 }
 
 // giveBack ends the drain of a machine for now.
 func (c *Core) giveBack(w *wave, m *waveMachine, up *upstream) {
-	m.state, m.retryAt = machineWaiting, c.now+giveBackPause
+	m.state, m.retryAt, m.givenBack = machineWaiting, c.now+giveBackPause, true
 	up.cordoned = false
 	c.Log("drain ended: a long-running task has no other place", "wave", w.Number, "machine", m.name, "upstream", up.ID,
 		"drained_for_ms", (c.now - m.since).Milliseconds())
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -171,9 +171,12 @@
 func (c *Core) isInService(up *upstream) bool { return c.isReady(up) && !up.health.isExcluded(c.now) }
 
 // isReady reports whether tasks could start on the upstream, were it not for its failures.
-func (c *Core) isReady(up *upstream) bool {
+func (c *Core) isReady(up *upstream) bool { return !up.cordoned && c.isReadyButForDrain(up) }
+
+// isReadyButForDrain is isReady, whether or not the upstream is drained for an upkeep or a move.
+func (c *Core) isReadyButForDrain(up *upstream) bool {
 	return up.listed && up.fenced && up.stored && !up.terminated && !up.Draining && up.failedPolls == 0 && up.unknownRuns == 0 &&
-		!c.evacuated[up.Zone] && !up.cordoned && c.mayExtendLease(up)
+		!c.evacuated[up.Zone] && c.mayExtendLease(up)
 }
 
 func (p *pool) hasUnreconciled() bool {
--- a/schedule/unreached.go
+++ b/schedule/unreached.go
@@ -33,8 +33,8 @@
 }
 
 // InheritUnreached applies the record that the previous owner stored, or that an earlier one did and all claims since have taken
-// over. It must have been read before the time of SetTime. Records of other owners are void: an owner between may have extended
-// the leases.
+// over. Records of other owners are void: an owner between may have extended the leases. The rest of a lease counts from the end of
+// the ownership before, by which the record was made. What this process knows of its own leases is exact.
 func (c *Core) InheritUnreached(record UnreachedUpstreams) {
 	taken := record.Generation == c.Generation // by the claim
 	if !taken && (c.Generation == 0 || record.Generation != c.Generation-1) {
@@ -47,8 +47,9 @@
 		if taken {
 			c.unreached.named[id] = true
 		}
-		if up := c.upstreams.get(id); up != nil {
-			up.earlierLeaseEnd = min(up.earlierLeaseEnd, c.now+time.Duration(left)*time.Millisecond)
+		up := c.upstreams.get(id)
+		if _, known := c.KnownLeaseEnds[id]; up != nil && !known {
+			up.earlierLeaseEnd = min(c.now, c.EarlierEnded) + time.Duration(left)*time.Millisecond
 		}
 	}
 }
@@ -123,13 +124,13 @@
 
 // InheritLeases applies what the previous owner has said about the leases that it granted, in milliseconds from now.
 func (c *Core) InheritLeases(leftMS map[string]int64) {
-	shortened := 0
+	changed := 0
 	for id, left := range leftMS {
 		end := c.now + time.Duration(left)*time.Millisecond
-		if up := c.upstreams.get(id); up != nil && up.isUnreached() && end < up.earlierLeaseEnd {
+		if up := c.upstreams.get(id); up != nil && up.isUnreached() && end != up.earlierLeaseEnd {
 			up.earlierLeaseEnd = end
-			shortened++
+			changed++
 		}
 	}
-	c.Log("leases of the earlier owner known", "upstreams", len(leftMS), "shortened", shortened, "claimed_ms_ago", (c.now - c.Claimed).Milliseconds())
+	c.Log("leases of the earlier owner known", "upstreams", len(leftMS), "changed", changed, "claimed_ms_ago", (c.now - c.Claimed).Milliseconds())
 }
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -36,6 +36,7 @@
 	previousStartedMS int64
 	pollSeqAtAccept   uint64 // last poll of that upstream sent before the command was accepted
 	retryAt           time.Duration
+	givenBack         bool   // its drain has ended since a task had no other place
 	unanswered        bool   // a copy of the command got no answer
 	number            uint64 // of the command
 	missingLists      int    // consecutive lists of machines without this one
@@ -241,7 +242,7 @@
 			if !up.fenced || up.failedPolls > 0 {
 				return
 			}
-			if !c.inheritedCommands[m.name] && c.keepsTaskWaiting(up) {
+			if !c.inheritedCommands[m.name] && !c.mayEndByCommand(up) && c.keepsTaskWaiting(up) {
 				c.giveBack(w, m, up)
 				return
 			}
