--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -367,7 +367,7 @@
 			held++
 			continue
 		}
-		if !c.mayHold(p, up) && !(c.couldRun(p, up) && c.mayStartBesideTrial(p, t, up)) || !p.step.LongRunning && t.isKeptFrom(trials[up.place()]) {
+		if !c.mayTry(p, t, up) || !p.step.LongRunning && t.isKeptFrom(trials[up.place()]) {
 			continue
 		}
 		key := [4]int{1, rank(c.avoids(p, t, up)), 0, up.runs.len()}
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -89,6 +89,11 @@
 	return up.health.allowsStart(c.now) && c.couldRun(p, up)
 }
 
+// mayTry is mayHold for a task that may start beside the trial of another one.
+func (c *Core) mayTry(p *part, t *task, up *upstream) bool {
+	return c.couldRun(p, up) && (up.health.allowsStart(c.now) || c.mayStartBesideTrial(p, t, up))
+}
+
 // couldRun is mayHold, whatever the upstream's failures.
 func (c *Core) couldRun(p *part, up *upstream) bool {
 	reserved := p.step.ReservedResources()
