--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -35,6 +35,8 @@
 
 type host struct {
 	name, zone, front, ready string
+	path                     string
+	out                      *os.File
 	command                  *exec.Cmd
 	exited                   chan struct{}
 }
@@ -152,6 +154,24 @@
 	return u, u.start()
 }
 
+// start starts the process of the host with the command of the deploy file.
+func (h *host) start() error {
+	h.command = exec.Command("target/citrongauge", "entry")
+	h.command.Env = append(os.Environ(), "CITRONGAUGE_NODE_FILE="+h.path)
+	h.command.Stdout, h.command.Stderr = h.out, h.out
+	exited := make(chan struct{})
+	h.exited = exited
+	if err := h.command.Start(); err != nil {
+		return err
+	}
+	command := h.command
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
 // freePorts returns ports that were free at the same time, from below those that the system gives to outgoing connections.
 func freePorts(n int) ([]int, error) {
 	var ports []int
@@ -180,7 +200,7 @@
 		ports := ports[3*i:]
 		h := &host{
 			name: fmt.Sprintf("edge-%s-1", zones[i]), zone: zones[i], front: fmt.Sprintf("127.0.0.1:%d", ports[0]),
-			ready: fmt.Sprintf("127.0.0.1:%d", ports[1]), exited: make(chan struct{}),
+			ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
 		}
 		path := filepath.Join(f.dir, h.name+".toml")
 		if err := os.WriteFile(path, []byte(settings(f, h, ports[2])), 0o644); err != nil {
@@ -190,16 +210,10 @@
 		if err != nil {
 			return err
 		}
-		h.command = exec.Command("target/citrongauge", "entry")
-		h.command.Env = append(os.Environ(), "CITRONGAUGE_NODE_FILE="+path)
-		h.command.Stdout, h.command.Stderr = out, out
-		if err := h.command.Start(); err != nil {
+		h.out, h.path = out, path
+		if err := h.start(); err != nil {
 			return err
 		}
-		go func() {
-			_ = h.command.Wait()
-			close(h.exited)
-		}()
 		f.hosts = append(f.hosts, h)
 	}
 	until := time.Now().Add(10 * time.Second)
