--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -52,6 +53,7 @@
 	cpu       int
 	spec      string
 	lasts     bool
+	hopeless  bool // it can never be done
 }
 
 const (
@@ -341,8 +343,8 @@
 
 // submit hands a job with one step in, at most five times.
 func (f *fleet) submit(tasks, cpu int, spec, label string) *job {
-	work, ends := workOf(spec)
-	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), sent: time.Now(), tasks: tasks, cpu: cpu, spec: spec, lasts: !ends}
+	work, _ := workOf(spec)
+	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), sent: time.Now(), tasks: tasks, cpu: cpu, spec: spec, lasts: strings.HasPrefix(spec, "last"), hopeless: strings.Contains(spec, "fail=")}
 	step := map[string]any{"count": tasks, "cpu": cpu, "mem_mb": 512, "estimate_ms": work.Milliseconds()}
 	if label != "" {
 		step["requirements"] = label
