--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -194,48 +194,64 @@
 
 // startHosts starts entry hosts with the command of the deploy file and waits until they are ready.
 func (f *fleet) startHosts(n int) error {
-	ports, err := freePorts(3 * n)
-	if err != nil {
-		return err
-	}
 	for i := range n {
-		ports := ports[3*i:]
-		h := &host{
-			name: fmt.Sprintf("edge-%s-1", zones[i]), zone: zones[i], front: fmt.Sprintf("127.0.0.1:%d", ports[0]),
-			ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
-		}
-		path := filepath.Join(f.dir, h.name+".toml")
-		if err := os.WriteFile(path, []byte(settings(f, h, ports[2])), 0o644); err != nil {
+		h := &host{name: fmt.Sprintf("edge-%s-1", zones[i]), zone: zones[i]}
+		f.hosts = append(f.hosts, h)
+		if err := f.startHost(h); err != nil {
 			return err
 		}
-		out, err := os.Create(filepath.Join(f.dir, h.name+".log"))
+	}
+	f.log("entry hosts are ready")
+	return nil
+}
+
+// startHost starts a host and waits until it is ready. It takes other ports if the host ends at once, since a port that was free may
+// be taken by then.
+func (f *fleet) startHost(h *host) error {
+	for range 8 {
+		ports, err := freePorts(3)
 		if err != nil {
 			return err
 		}
-		h.out, h.path = out, path
+		h.front, h.ready = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+		h.path = filepath.Join(f.dir, h.name+".toml")
+		if err := os.WriteFile(h.path, []byte(settings(f, h, ports[2])), 0o644); err != nil {
+			return err
+		}
+		if h.out, err = os.Create(filepath.Join(f.dir, h.name+".log")); err != nil {
+			return err
+		}
 		if err := h.start(); err != nil {
 			return err
 		}
-		f.hosts = append(f.hosts, h)
-	}
-	until := time.Now().Add(10 * time.Second)
-	for _, h := range f.hosts {
-		for {
-			response, err := http.Get("http://" + h.ready + "/-/readyz")
-			if err == nil {
-				response.Body.Close()
-				if response.StatusCode == http.StatusOK {
-					break
-				}
-			}
-			if time.Now().After(until) {
-				return fmt.Errorf("%s is not ready", h.name)
+		for until := time.Now().Add(10 * time.Second); !h.hasExited() && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+			if h.isReady() {
+				return nil
 			}
-			time.Sleep(50 * time.Millisecond)
+		}
+		if !h.hasExited() {
+			break
 		}
 	}
-	f.log("entry hosts are ready")
-	return nil
+	return fmt.Errorf("%s is not ready", h.name)
+}
+
+func (h *host) hasExited() bool {
+	select {
+	case <-h.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *host) isReady() bool {
+	response, err := http.Get("http://" + h.ready + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
 func settings(f *fleet, h *host, internal int) string {
@@ -311,9 +327,15 @@
 // close ends all processes that the fleet has started.
 func (f *fleet) close() {
 	for _, h := range f.hosts {
+		if h.command == nil || h.command.Process == nil {
+			continue
+		}
 		_ = h.command.Process.Signal(syscall.SIGTERM)
 	}
 	for _, h := range f.hosts {
+		if h.exited == nil || h.command.Process == nil {
+			continue
+		}
 		select {
 		case <-h.exited:
 		case <-time.After(8 * time.Second):
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,15 @@
 		return 2
 	}
 	defer f.close()
+	signal.Ignore(syscall.SIGPIPE)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		f.close()
+		os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	f.log("case", "name", name, "trouble", trouble)
 	broken, err := playCase(f, trouble)
