--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -153,7 +153,7 @@
 }
 
 // hopelessJobs: of three workers with a label two are full of tasks that last. Then a few jobs come that require the label and can
-// never be done, and later one that can.
+// never be done, one of 22 that last and four of about a hundred that end, and later one that can.
 func hopelessJobs(f *fleet, trouble bool) ([]string, error) {
 	if err := deployKinds(f, 3); err != nil {
 		return nil, err
@@ -162,6 +162,7 @@
 	f.submit(2, 16000, "last", "b")
 	at(begin, 3)
 	traffic := f.traffic(begin.Add(6*time.Second), 28*time.Millisecond, 1, 500, "work=500")
+	lasting := f.trafficFor(begin.Add(6*time.Second), 142*time.Millisecond, 1, 100, "last", "a")
 	if trouble {
 		at(begin, 3.5)
 		f.submit(1, 1000, "last fail=200", "b")
@@ -170,6 +171,7 @@
 		}
 	}
 	traffic.Wait()
+	lasting.Wait()
 	at(begin, 20)
 	good := f.submit(1, 1000, "work=500", "b")
 	f.log("traffic ends", "good", good.id)
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -33,6 +33,7 @@
 	end     time.Time // zero: it goes on
 	how     string
 	noted   bool // ack_cursor has reached its end
+	lapsed  bool // the lease lapsed between its end and its acknowledgement, or ended it
 }
 
 type endRow struct {
@@ -177,6 +178,9 @@
 			return
 		}
 		lapsed := w.clockMS() > w.leaseMS
+		for _, e := range w.ends {
+			e.run.lapsed = e.run.lapsed || lapsed
+		}
 		for _, r := range w.running {
 			work, ends := workOf(r.spec)
 			switch {
@@ -311,7 +315,7 @@
 		}
 		w.extend(o.Deadline)
 		for len(w.ends) > 0 && w.ends[0].n <= o.Ack {
-			w.ends[0].run.noted = w.ends[0].run.how != "lapsed"
+			w.ends[0].run.noted = !w.ends[0].run.lapsed
 			w.ends = w.ends[1:]
 		}
 		changed := w.changed
