schedule: log what is known of each run when an upstream has started anew

The logs could not tell whether a start had been answered when the restart became known, with which clock, and whether the earlier life had listed the run. One line for each restart and one for each run there; the restarts are counted. No decision changes.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -149,6 +149,7 @@
 // Stats are counters of the core's actions, and its newest counts of absent tasks.
 type Stats struct {
 	Starts, Done, Failed, Requeued, Stops, Polls, RejectedStarts, Moves int
+	Restarts                                                            int // of upstreams under their IDs
 	// Long-running tasks that are absent as of the last report: without a run, and with a run on a silent upstream.
 	LongRunningWaiting, LongRunningUnconfirmed int
 }
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -44,6 +44,7 @@
 		if up.polling {
 			pollDeadline = up.pollDeadline
 		}
+		c.logRestart(up, entry.StartedMS, "entry")
 		c.handleRestart(up, entry.StartedMS, pollDeadline)
 	}
 	if entry.Draining && !up.Draining {
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -116,6 +116,7 @@
 		return // late response from before a restart
 	}
 	if result.StartedMS != 0 && up.StartedMS != 0 && result.StartedMS > up.StartedMS {
+		c.logRestart(up, result.StartedMS, "poll")
 		c.handleRestart(up, result.StartedMS, up.pollDeadline) // the new incarnation has carried out the poll
 	}
 	if result.StartedMS != 0 {
@@ -141,7 +142,7 @@
 	c.handleRunning(up, result.Running, poll.seq)
 	c.noteIncarnation(up)
 	if first {
-		c.Log("upstream fenced", "upstream", up.ID, "token", c.Token, "born", up.StartedMS, "running", len(result.Running),
+		c.Log("upstream fenced", "upstream", up.ID, "token", c.Token, "born", up.StartedMS, "clock_ms", result.ClockMS, "running", len(result.Running),
 			"ended", len(result.Ended))
 	}
 }
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -47,9 +47,11 @@
 	stoppedAt       time.Duration // when the stop was answered
 	// lostStarts counts the copies of the start that got no answer. The upstream may still carry them out at any time.
 	lostStarts    int
-	startInFlight bool  // a copy of the start is in flight
-	startAnswered bool  // a copy of the start was answered with success
-	startDeadline int64 // latest deadline of its copies, on the clock of the incarnation for which they were meant
+	startInFlight bool          // a copy of the start is in flight
+	startAnswered bool          // a copy of the start was answered with success
+	startDeadline int64         // latest deadline of its copies, on the clock of the incarnation for which they were meant
+	answeredAt    time.Duration // when a copy of the start was answered with success; 0: none was
+	answerClockMS int64         // the upstream's clock in that answer
 
 	progress      int // percent; 100 for a long-running task that has finished its start-up
 	confirmedPace int // percent, as confirmed by the upstream
@@ -334,7 +336,7 @@
 	var rejected *platform.RejectedError
 	switch {
 	case err == nil:
-		r.startAnswered = true
+		r.startAnswered, r.answeredAt, r.answerClockMS = true, c.now, clockMS
 		c.stages(r).response.add(c.now - start.sentAt)
 		c.noteBegun(r)
 		if r.state == runStarting || r.state == runUnknown {
