Histories of restarts that the owner does not notice at once

TestHistoriesOfUnnoticedRestarts: a new life accepts calls at once, its entry reaches the store 0 to 2.5 s later, also after the end of that life; its clock begins anywhere and its born may be lower. Calls to the earlier life are silent until their time-out, are reset, or reach the new life. Restarts come in series, with cuts, kills of the owner, a slow store, and upstreams that are cut off for good.

Changes to existing test files: hooks that are void without a livesHistory (claim, lost calls, write lag, `old` extends the lease), clockAtStart of simUpstream, checkEnds split into checkEnd. No check is weaker.

--- /dev/null
+++ b/schedule/livesim_test.go
@@ -0,0 +1,379 @@
+package schedule_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"citrongauge.example/citrongauge/job"
+)
+
+// Checks the users' rules, TWICE above all, over random histories of upstreams that start anew under their IDs, which the owner learns
+// late. A new life accepts calls at once and its entry follows. Its clock begins anywhere, and its born may be lower than the earlier
+// one's. Polls and starts to the earlier life are silent until they time out, or reach the new one. Restarts come in series and overlap
+// with short cuts, kills of the owner and a slow store; some upstreams are cut off for good right after.
+func TestHistoriesOfUnnoticedRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if violation := runLives(t); violation != "" {
+			t.Fatal(violation)
+		}
+	})
+}
+
+// bornOnlyRises is for hunts.
+var bornOnlyRises = flag.Bool("lives.rising", false, "the time of day never jumps back between the lives of an upstream")
+
+// livesHistory has what the store knows of the lives of upstreams.
+type livesHistory struct {
+	storedBorn map[string]int64 // by ID, in the upstream's entry
+	usedBorn   map[string][]int64
+	gone       map[string]bool // cut off for good
+	storeLag   time.Duration   // by which the store confirms later
+	lasting    int             // number of long-running tasks
+}
+
+const (
+	simFirstBorn = 1_000_000
+	// simCalm is how long the time has to be calm before a long-running task without a run counts as lost, and simCalmAfterLoss while
+	// the new life of an upstream cannot be reached: it may have carried out a start with the platform's longest lease.
+	simCalm          = 7 * time.Second
+	simCalmAfterLoss = 14 * time.Second
+	// maxSimLasting is the number of long-running tasks from which on no more are submitted.
+	maxSimLasting = 4
+)
+
+// runLives runs one history and returns the first violation of a rule; "": none.
+func runLives(t *rapid.T) string {
+	sim := newLivesSimulation(t)
+	for range rapid.IntRange(1, 5).Draw(t, "events") {
+		sim.injectLifeEvent()
+		sim.workOn(sim.delay("pause", 1500))
+	}
+	for sim.services.ongoing > 0 && sim.violation == "" {
+		sim.workOn(500 * time.Millisecond)
+	}
+	sim.faultsEnded = true
+	sim.advance(simCalmAfterLoss + 4*time.Second)
+	sim.advanceUntilDone(30 * time.Second)
+	sim.checkShortEnds()
+	if sim.violation == "" {
+		return ""
+	}
+	return sim.violation + "; lives:" + sim.lives.describe(sim)
+}
+
+func newLivesSimulation(t *rapid.T) *simulation {
+	sim := newSimulation(t, rapid.IntRange(2, 4).Draw(t, "upstreams"))
+	sim.teamCap = job.Resources{}
+	sim.services = &serviceHistory{
+		lastRun: map[job.TaskID]time.Duration{}, lacksSince: map[job.TaskID]time.Duration{}, givenUp: map[string]bool{},
+	}
+	sim.lives = &livesHistory{storedBorn: map[string]int64{}, usedBorn: map[string][]int64{}, gone: map[string]bool{}}
+	for _, u := range sim.upstreams {
+		sim.beginLife(u, simFirstBorn)
+		sim.lives.storedBorn[u.id] = simFirstBorn
+	}
+	sim.claim()
+	for range rapid.IntRange(0, 2).Draw(t, "services") {
+		sim.submitLasting()
+	}
+	sim.workOn(sim.delay("first", 2500))
+	return sim
+}
+
+// beginLife begins a life of an upstream with any clock.
+func (sim *simulation) beginLife(u *simUpstream, born int64) {
+	var clock int64
+	switch rapid.IntRange(0, 3).Draw(sim.t, "clock") {
+	case 0:
+		clock = int64(rapid.IntRange(0, 3000).Draw(sim.t, "low"))
+	case 1, 2:
+		clock = max(u.clock(sim)+int64(rapid.IntRange(-8000, 8000).Draw(sim.t, "near")), 0)
+	case 3:
+		clock = int64(rapid.IntRange(0, 20_000_000).Draw(sim.t, "any"))
+	}
+	u.start(sim, born)
+	u.clockAtStart = clock
+	sim.lives.usedBorn[u.id] = append(sim.lives.usedBorn[u.id], born)
+	sim.log("SIM life begins", u.id, born, "clock", clock)
+}
+
+// drawBorn returns the born of a new life, which differs from those of all earlier ones. The time of day may have jumped.
+func (sim *simulation) drawBorn(u *simUpstream) int64 {
+	born := u.startedMS + int64(rapid.IntRange(1, 4000).Draw(sim.t, "later"))
+	if rapid.IntRange(0, 3).Draw(sim.t, "jump") == 0 && !*bornOnlyRises {
+		born = u.startedMS - int64(rapid.IntRange(1, 3000).Draw(sim.t, "back"))
+	}
+	for slices.Contains(sim.lives.usedBorn[u.id], born) {
+		born++
+	}
+	return born
+}
+
+// workOn advances the time while short jobs arrive.
+func (sim *simulation) workOn(d time.Duration) {
+	for end := sim.now + d; sim.now < end && sim.violation == ""; {
+		if rapid.IntRange(0, 2).Draw(sim.t, "arrival") == 0 {
+			sim.submitShort()
+		}
+		sim.advance(min(sim.delay("gap", 200), end-sim.now))
+	}
+}
+
+func (sim *simulation) submitShort() {
+	step := job.Step{
+		Count: rapid.IntRange(1, 4).Draw(sim.t, "tasks"), Request: job.Resources{MilliCPU: int64(rapid.IntRange(1, 3).Draw(sim.t, "size")) * 500},
+		Estimate: time.Second,
+	}
+	steps := []job.Step{step}
+	if rapid.IntRange(0, 3).Draw(sim.t, "second step") == 0 {
+		step.After = []int{0}
+		steps = append(steps, step)
+	}
+	sim.submitSteps(steps...).lasts = sim.delay("lasts", rapid.SampledFrom([]int{50, 300, 2000}).Draw(sim.t, "long"))
+}
+
+// submitLasting submits a long-running job, unless there are so many that short jobs could be short of room.
+func (sim *simulation) submitLasting() {
+	if sim.lives.lasting >= maxSimLasting {
+		return
+	}
+	count := rapid.IntRange(1, 2).Draw(sim.t, "count")
+	sim.lives.lasting += count
+	sim.submitSteps(job.Step{
+		Count: count, Request: job.Resources{MilliCPU: 500}, LongRunning: true,
+		MaxPerUpstream: rapid.IntRange(0, 1).Draw(sim.t, "per upstream"),
+	})
+}
+
+// advanceUntilDone advances the time until all jobs that end have ended, for at most d.
+func (sim *simulation) advanceUntilDone(d time.Duration) {
+	for end := sim.now + d; sim.now < end && sim.violation == "" && !sim.isDone(); {
+		sim.advance(500 * time.Millisecond)
+	}
+}
+
+// checkShortEnds is checkEnds for jobs that end. No others may have ended.
+func (sim *simulation) checkShortEnds() {
+	for _, id := range sim.submitted {
+		s := sim.stored[id]
+		switch {
+		case !s.job.LongRunning():
+			sim.checkEnd(s)
+		case s.progress != nil && s.progress.Phase.Terminal():
+			sim.fail("LOST: long-running job %s has ended: %v", id, s.progress.Phase)
+		}
+	}
+}
+
+func (sim *simulation) isDone() bool {
+	return !slices.ContainsFunc(sim.submitted, func(id job.ID) bool {
+		s := sim.stored[id]
+		return !s.job.LongRunning() && (s.progress == nil || !s.progress.Phase.Terminal())
+	})
+}
+
+func (sim *simulation) injectLifeEvent() {
+	u := sim.upstreams[rapid.IntRange(0, len(sim.upstreams)-1).Draw(sim.t, "upstream")]
+	switch rapid.IntRange(0, 9).Draw(sim.t, "event") {
+	case 0, 1, 2, 3, 4:
+		sim.restartSeries(u)
+	case 5:
+		for _, other := range sim.upstreams {
+			if rapid.Bool().Draw(sim.t, "too") {
+				sim.restartSeries(other)
+			}
+		}
+	case 6:
+		sim.cutBriefly(u)
+	case 7:
+		sim.killOwnerSoon(sim.delay("kill", 1000))
+	case 8:
+		sim.slowStore()
+	case 9:
+		sim.submitLasting()
+	}
+}
+
+// restartSeries restarts an upstream once or several times, at some time from now on.
+func (sim *simulation) restartSeries(u *simUpstream) {
+	at := sim.delay("crash", 300)
+	for range rapid.SampledFrom([]int{1, 1, 2, 3}).Draw(sim.t, "restarts") {
+		if rapid.IntRange(0, 2).Draw(sim.t, "cut before") == 0 {
+			sim.cutAt(u, at-sim.delay("earlier", 300))
+		}
+		at = sim.restartAt(u, at)
+		if rapid.IntRange(0, 3).Draw(sim.t, "cut after") == 0 {
+			sim.cutAt(u, at+sim.delay("after", 400))
+		}
+		if rapid.IntRange(0, 4).Draw(sim.t, "kill") == 0 {
+			sim.killOwnerSoon(at + sim.delay("kill", 300))
+		}
+		if rapid.IntRange(0, 7).Draw(sim.t, "gone") == 0 {
+			sim.goneAt(u, at+sim.delay("gone", 500))
+		}
+		at += sim.delay("next", 3000)
+	}
+}
+
+// restartAt ends an upstream's life and begins the next, and returns when that begins, counted from now.
+func (sim *simulation) restartAt(u *simUpstream, at time.Duration) time.Duration {
+	down := 20*time.Millisecond + sim.delay("down", 600)
+	sim.services.after(sim.now+at, func() {
+		if u.dead || sim.lives.gone[u.id] {
+			return
+		}
+		u.crash(sim)
+		sim.log("SIM life ends", u.id, u.startedMS, "down", down)
+		sim.disturb(down, func() {
+			sim.beginLife(u, sim.drawBorn(u))
+			sim.register(u, u.startedMS)
+			sim.submitSoon()
+		})
+	})
+	return at + down
+}
+
+// submitSoon submits a job within some 100 ms, perhaps.
+func (sim *simulation) submitSoon() {
+	submit := sim.submitShort
+	switch rapid.IntRange(0, 3).Draw(sim.t, "work") {
+	case 0:
+		return
+	case 1:
+		submit = sim.submitLasting
+	}
+	sim.services.after(sim.now+sim.delay("submit", 150), submit)
+}
+
+// register has the entry of a life reach the store, and its owner, some time later, even after the end of the life. The current life
+// writes its own again then.
+func (sim *simulation) register(u *simUpstream, born int64) {
+	most := rapid.SampledFrom([]int{20, 400, 400, 400, 1500, 2500}).Draw(sim.t, "entry")
+	sim.disturb(sim.delay("late", most), func() {
+		if sim.lives.gone[u.id] {
+			return
+		}
+		sim.lives.storedBorn[u.id] = born
+		sim.log("SIM entry", u.id, born)
+		sim.deliverStoredEntry(sim.owner, u)
+		if u.startedMS != born && !u.dead {
+			sim.register(u, u.startedMS)
+		}
+	})
+}
+
+func (sim *simulation) deliverStoredEntry(o *simOwner, u *simUpstream) {
+	if o.dead || u.unlisted {
+		return
+	}
+	entry := u.entry()
+	entry.StartedMS = sim.lives.storedBorn[u.id]
+	o.core.SetTime(sim.now, sim.now.Milliseconds())
+	o.core.SetUpstream(entry)
+}
+
+func (sim *simulation) cutAt(u *simUpstream, at time.Duration) {
+	sim.services.after(sim.now+max(at, 0), func() { sim.cutBriefly(u) })
+}
+
+func (sim *simulation) cutBriefly(u *simUpstream) {
+	if u.unreachable {
+		return
+	}
+	lasts := 400*time.Millisecond + sim.delay("cut", 800)
+	sim.log("SIM cut", u.id, lasts)
+	sim.cut([]*simUpstream{u}, lasts)
+}
+
+// goneAt cuts an upstream off for good, unless too few are left. Its runs go on until its lease expires. Its entry is removed later.
+func (sim *simulation) goneAt(u *simUpstream, at time.Duration) {
+	sim.services.after(sim.now+at, func() {
+		if u.unreachable || u.dead || sim.lives.gone[u.id] || len(sim.lives.gone)+3 > len(sim.upstreams) {
+			return
+		}
+		u.unreachable, sim.lives.gone[u.id] = true, true
+		sim.log("SIM cut off for good", u.id)
+		sim.disturb(sim.delay("entry stays", 3000), func() {
+			u.unlisted = true
+			if !sim.owner.dead {
+				sim.owner.core.UnlistUpstream(u.id)
+			}
+		})
+	})
+}
+
+// killOwnerSoon kills the owner after some time. The next one claims once the owner's lease has ended.
+func (sim *simulation) killOwnerSoon(after time.Duration) {
+	sim.services.after(sim.now+after, func() {
+		if sim.owner.dead {
+			return
+		}
+		sim.owner.dead = true
+		sim.log("SIM owner is killed")
+		sim.disturb(ownerLeaseTTL+sim.delay("claim", 500), sim.claim)
+	})
+}
+
+func (sim *simulation) slowStore() {
+	lag := sim.delay("lag", 500)
+	sim.lives.storeLag += lag
+	sim.disturb(sim.delay("slow", 2000), func() { sim.lives.storeLag -= lag })
+}
+
+// lose handles a call that no life has answered. Its packets may be repeated and reach a later life, unless one has received the call;
+// otherwise its connection is reset, or stays silent until the call times out.
+func (h *livesHistory) lose(sim *simulation, pending *pendingCall, u *simUpstream) {
+	timeout := pending.sentAt + callTimeout
+	received := pending.waits || pending.responseLost
+	switch rapid.IntRange(0, 3).Draw(sim.t, "silence") {
+	case 0:
+		again := sim.now + sim.delay("again", 1000)
+		if !received && again < timeout {
+			pending.at = again
+			sim.calls = append(sim.calls, pending)
+			return
+		}
+	case 1:
+		if !u.unreachable {
+			timeout = min(timeout, sim.now+sim.delay("reset", 100))
+		}
+	}
+	call := pending.call
+	sim.calls = append(sim.calls, &pendingCall{owner: pending.owner, at: timeout, complete: func(o *simOwner) {
+		if o == sim.owner && !o.dead {
+			o.core.SetTime(sim.now, sim.now.Milliseconds())
+			handleLostResponse(call)(o)
+		}
+	}})
+}
+
+// writeLag returns by how much the store confirms later than usual.
+func (h *livesHistory) writeLag() time.Duration {
+	if h == nil {
+		return 0
+	}
+	return h.storeLag
+}
+
+// calmBound returns how long the time has to be calm before a long-running task without a run counts as lost.
+func (h *livesHistory) calmBound() time.Duration {
+	if h == nil || len(h.gone) == 0 {
+		return simCalm
+	}
+	return simCalmAfterLoss
+}
+
+// describe returns the lives of all upstreams.
+func (h *livesHistory) describe(sim *simulation) string {
+	text := ""
+	for _, u := range sim.upstreams {
+		text += fmt.Sprintf(" %s: born %d of %v, entry %d, gone %v, runs %d;", u.id, u.startedMS, h.usedBorn[u.id], h.storedBorn[u.id],
+			h.gone[u.id], len(u.running))
+	}
+	return text
+}
--- a/schedule/services_test.go
+++ b/schedule/services_test.go
@@ -136,7 +136,7 @@
 	if _, lacks := h.lacksSince[id]; !lacks {
 		h.lacksSince[id] = sim.now
 	}
-	if h.ongoing == 0 && min(sim.now-h.lacksSince[id]-3*time.Second, sim.now-h.disturbedAt-7*time.Second) >= 0 {
+	if h.ongoing == 0 && min(sim.now-h.lacksSince[id]-3*time.Second, sim.now-h.disturbedAt-sim.lives.calmBound()) >= 0 {
 		if sim.outages != nil {
 			sim.fail("LOST: nothing of %s has run for %v, with room for it for %v and %v of calm: %s", id, sim.now-h.lastRun[id],
 				sim.now-h.lacksSince[id], sim.now-h.disturbedAt, sim.outages.describe(sim, id))
--- a/schedule/simchecks_test.go
+++ b/schedule/simchecks_test.go
@@ -73,13 +73,16 @@
 // checkEnds checks, long after the last fault, that every job has ended and that none has failed without cause.
 func (sim *simulation) checkEnds() {
 	for _, id := range sim.submitted {
-		s := sim.stored[id]
-		switch {
-		case s.progress == nil || !s.progress.Phase.Terminal():
-			sim.fail("LOST: job %s has not ended long after the last fault", id)
-		case s.progress.Phase == job.Failed && !sim.mayFail(s):
-			sim.fail("LOST: job %s failed without cause", id)
-		}
+		sim.checkEnd(sim.stored[id])
+	}
+}
+
+func (sim *simulation) checkEnd(s *storedJob) {
+	switch {
+	case s.progress == nil || !s.progress.Phase.Terminal():
+		sim.fail("LOST: job %s has not ended long after the last fault", s.job.ID)
+	case s.progress.Phase == job.Failed && !sim.mayFail(s):
+		sim.fail("LOST: job %s failed without cause", s.job.ID)
 	}
 }
 
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -41,6 +41,7 @@
 	maxEnds        int             // number of ends that an upstream lists at a time
 	outages        *outageHistory  // nil: none
 	services       *serviceHistory // nil: faults are drawn for each call, and are known to the owner at once
+	lives          *livesHistory   // nil: entries of new lives are known at once, and all clocks begin with the same value
 }
 
 // storedJob is the state of a job in the store.
@@ -74,6 +75,7 @@
 type pendingCall struct {
 	owner           *simOwner
 	call            schedule.Call
+	sentAt          time.Duration
 	at              time.Duration // when it is executed
 	targetStartedMS int64         // start time of its upstream, for a delayed call that a restart drops; 0: any
 	responseLost    bool
@@ -180,7 +182,9 @@
 	o.core.InheritUnreached(sim.unreached)
 	o.core.InheritLongLeases(sim.longLeases)
 	for _, u := range sim.upstreams {
-		if !u.dead && !u.unlisted {
+		if sim.lives != nil {
+			sim.deliverStoredEntry(o, u)
+		} else if !u.dead && !u.unlisted {
 			o.core.SetUpstream(u.entry())
 		}
 	}
@@ -237,7 +241,7 @@
 		if _, ok := call.(schedule.CloseConnections); ok {
 			continue // connections are not simulated
 		}
-		pending := &pendingCall{owner: o, call: call, at: sim.now + sim.delay("way", 30)}
+		pending := &pendingCall{owner: o, call: call, sentAt: sim.now, at: sim.now + sim.delay("way", 30)}
 		if !sim.faultsEnded && (sim.services == nil || sim.services.lossy > 0) {
 			switch rapid.IntRange(0, 29).Draw(sim.t, "fate") {
 			case 0:
@@ -270,7 +274,7 @@
 	batch := o.core.TakeRecords()
 	applied := false
 	var write *pendingCall
-	write = &pendingCall{owner: o, at: sim.now + sim.delay("write", 60), complete: func(o *simOwner) {
+	write = &pendingCall{owner: o, at: sim.now + sim.delay("write", 60) + sim.lives.writeLag(), complete: func(o *simOwner) {
 		if sim.owner != o || applied {
 			return // another owner has claimed: the transaction's condition fails
 		}
@@ -362,6 +366,10 @@
 			deliver, answered = deliverResponse, true
 		}
 	}
+	if sim.lives != nil && !answered {
+		sim.lives.lose(sim, pending, u)
+		return
+	}
 	if sim.services != nil && !answered {
 		sim.tellLater(pending)
 		return
--- a/schedule/simupstream_test.go
+++ b/schedule/simupstream_test.go
@@ -18,6 +18,7 @@
 	rack, zone    string
 	startedMS     int64
 	startedAt     time.Duration
+	clockAtStart  int64 // what its clock shows at startedAt
 	clockRate     float64
 	token         uint64 // highest fencing token seen
 	deadline      int64  // when its lease expires, on its clock
@@ -50,11 +51,14 @@
 }
 
 func (u *simUpstream) start(sim *simulation, startedMS int64) {
-	u.startedMS, u.startedAt, u.token, u.deadline = startedMS, sim.now, 0, 0
+	u.startedMS, u.startedAt, u.token, u.deadline, u.clockAtStart = startedMS, sim.now, 0, 0, simClockAtStart
 	u.running, u.endedAttempts, u.ends, u.seq = map[job.TaskID]*simRun{}, map[job.TaskID]uint64{}, nil, 0
 	u.dead, u.returnsAt, u.crashedBy = false, 0, job.TaskID{}
 }
 
+// simClockAtStart is what the clock of a life shows at its start unless the history draws it.
+const simClockAtStart = 1000
+
 // simReturnTime is how long an upstream is away after a task has crashed it.
 const simReturnTime = 3 * time.Second
 
@@ -73,7 +77,7 @@
 }
 
 func (u *simUpstream) clock(sim *simulation) int64 {
-	return 1000 + int64(u.clockRate*float64((sim.now-u.startedAt).Milliseconds()))
+	return u.clockAtStart + int64(u.clockRate*float64((sim.now-u.startedAt).Milliseconds()))
 }
 
 func (u *simUpstream) entry() platform.Upstream {
@@ -168,6 +172,9 @@
 		return u.clock(sim), nil
 	}
 	if u.endedAttempts[command.Task] >= command.Attempt {
+		if sim.lives != nil {
+			u.extendLease(sim, command.DeadlineMS)
+		}
 		return u.clock(sim), &platform.RejectedError{Reason: platform.RejectedOldAttempt, ClockMS: u.clock(sim)}
 	}
 	if command.DeadlineMS <= u.clock(sim) {
