--- a/schedule/services_test.go
+++ b/schedule/services_test.go
@@ -351,6 +351,9 @@
 	}
 	pending.waits, pending.targetStartedMS = true, u.startedMS
 	pending.at = sim.now + sim.delay("wait", int(poll.Request.Wait.Milliseconds()))
+	if sim.lives != nil {
+		pending.at = min(pending.at, pending.sentAt+simTimeout(poll))
+	}
 	sim.calls = append(sim.calls, pending)
 	return true
 }
