--- a/schedule/livesim_test.go
+++ b/schedule/livesim_test.go
@@ -225,8 +225,11 @@
 		if rapid.IntRange(0, 4).Draw(sim.t, "kill") == 0 {
 			sim.killOwnerSoon(at + sim.delay("kill", 300))
 		}
-		if rapid.IntRange(0, 7).Draw(sim.t, "gone") == 0 {
+		switch rapid.IntRange(0, 7).Draw(sim.t, "gone") {
+		case 0:
 			sim.goneAt(u, at+sim.delay("gone", 500))
+		case 1:
+			sim.goneAfterStarts(u, at)
 		}
 		at += sim.delay("next", 3000)
 	}
@@ -261,6 +264,9 @@
 		submit = sim.submitLasting
 	}
 	sim.services.after(sim.now+sim.delay("submit", 150), submit)
+	if rapid.IntRange(0, 3).Draw(sim.t, "long, too") == 0 {
+		sim.submitLong()
+	}
 }
 
 // register has the entry of a life reach the store, and its owner, some time later, even after the end of the life. The current life
@@ -329,6 +335,21 @@
 	})
 }
 
+// goneAfterStarts cuts an upstream off for good soon after its new life, which begins at the given time, may have begun long runs.
+func (sim *simulation) goneAfterStarts(u *simUpstream, at time.Duration) {
+	at += sim.delay("submit", 100)
+	for range rapid.IntRange(1, 3).Draw(sim.t, "jobs") {
+		sim.services.after(sim.now+at, sim.submitLong)
+	}
+	sim.goneAt(u, at+20*time.Millisecond+sim.delay("gone", 200))
+}
+
+// submitLong submits a job with tasks that may last longer than a lease.
+func (sim *simulation) submitLong() {
+	step := job.Step{Count: rapid.IntRange(1, 4).Draw(sim.t, "tasks"), Request: job.Resources{MilliCPU: 500}, Estimate: time.Second}
+	sim.submitSteps(step).lasts = sim.delay("long", 12_000)
+}
+
 // killOwnerSoon kills the owner after some time. The next one claims once the owner's lease has ended.
 func (sim *simulation) killOwnerSoon(after time.Duration) {
 	sim.services.after(sim.now+after, func() {
