--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -39,6 +39,10 @@
 			"cpu", entry.Capacity.MilliCPU, "pool", entry.Pool, "zone", entry.Zone,
 			"draining", entry.Draining, "cordoned", up.cordoned)
 	}
+	if up.isEnded(entry.StartedMS) {
+		c.Log("entry of an earlier life", "upstream", up.ID, "born", entry.StartedMS, "known_born", up.StartedMS)
+		return
+	}
 	c.noteEntryLife(up, entry.StartedMS)
 	if entry.Draining && !up.Draining {
 		c.Log("upstream draining", "upstream", entry.ID, "remaining_ms", entry.DrainRemaining.Milliseconds(), "runs", up.runs.len())
--- a/schedule/life.go
+++ b/schedule/life.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"citrongauge.example/citrongauge/job"
@@ -16,7 +17,8 @@
 	fencedAt time.Duration
 	// inDoubt is set while a response has shown a clock that cannot be this life's, until a poll shows which life answers. Nothing
 	// is started, acknowledged or extended there meanwhile.
-	inDoubt bool
+	inDoubt    bool
+	doubtfulMS int64 // start time in an entry that raised the doubt; 0: none did
 
 	clock       clockReading
 	maxDeadline int64 // latest lease deadline in any command that may have reached it, on its clock
@@ -81,15 +83,31 @@
 	}
 }
 
-// noteEntryLife follows what an upstream's entry says of its life. A later start than that of the known life proves that this has
-// ended.
+// maxEndedLives is how many earlier lives of an upstream are remembered, so that late entries of them are recognised.
+const maxEndedLives = 8
+
+// isEnded reports whether a start time is that of an earlier life.
+func (u *upstream) isEnded(startedMS int64) bool { return slices.Contains(u.endedLives, startedMS) }
+
+// noteEnded remembers the start time of an ended life.
+func (u *upstream) noteEnded(startedMS int64) {
+	u.endedLives = append(u.endedLives, startedMS)
+	u.endedLives = u.endedLives[max(0, len(u.endedLives)-maxEndedLives):]
+}
+
+// noteEntryLife follows what an upstream's entry says of its life, which is none that has ended. A later start than that of the known
+// life proves that this has ended. An earlier one may be that of a newer life whose time of day is behind, or of an older entry: a poll
+// decides.
 func (c *Core) noteEntryLife(up *upstream, startedMS int64) {
 	switch {
-	case startedMS == 0:
+	case startedMS == 0 || startedMS == up.StartedMS:
 	case up.StartedMS == 0:
 		up.StartedMS = startedMS
 	case startedMS > up.StartedMS:
 		c.handleRestart(up, startedMS, "entry")
+	default:
+		up.doubtfulMS = startedMS
+		c.doubtLife(up, "entry", "born", startedMS)
 	}
 }
 
@@ -152,6 +170,7 @@
 	}
 	c.loseRuns(up, lost, "it has started anew")
 	earlier := up.life
+	up.noteEnded(up.StartedMS)
 	up.StartedMS, up.life = startedMS, &life{reconnect: true}
 	for _, r := range unproved {
 		c.keepOverRestart(r)
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -115,9 +115,6 @@
 	}
 	up.failedPolls, up.lastResponseAt, up.nextPoll = 0, c.now, c.now+minPollInterval
 	up.answeredSeq = poll.seq
-	if result.StartedMS != 0 && up.StartedMS != 0 && result.StartedMS < up.StartedMS {
-		return // late response from before a restart
-	}
 	c.notePolledLife(up, result.StartedMS)
 	if result.MalformedRows > 0 {
 		c.Log("unreadable rows in an upstream's lists", "upstream", up.ID, "rows", result.MalformedRows)
@@ -146,26 +143,30 @@
 	}
 }
 
-// notePolledLife follows what the response to a poll says of the life that answered.
+// notePolledLife follows what the response to a poll says of the life that answered. The poll was sent after the known life was, so
+// another one that answers is a later one, whichever start time it has.
 func (c *Core) notePolledLife(up *upstream, startedMS int64) {
 	switch {
 	case startedMS == 0:
 	case up.StartedMS == 0:
 		up.StartedMS = startedMS
-	case startedMS > up.StartedMS:
+	case startedMS != up.StartedMS:
 		up.polling = true // the new life has carried out this poll
 		c.handleRestart(up, startedMS, "poll")
 		up.reconnect = false
 	case up.inDoubt:
 		c.Log("upstream has not started anew", "upstream", up.ID, "born", up.StartedMS)
+		if up.doubtfulMS != 0 {
+			up.noteEnded(up.doubtfulMS)
+		}
 	}
-	up.inDoubt = false
+	up.inDoubt, up.doubtfulMS = false, 0
 }
 
 // noteIncarnation compares the incarnation of an upstream that has answered with the one in the stored roster, which it
 // updates.
 func (c *Core) noteIncarnation(up *upstream) {
-	if up.StartedMS > up.storedStartMS {
+	if up.StartedMS != up.storedStartMS {
 		c.countUnseenCrash(up)
 		up.storedStartMS = up.StartedMS
 		c.roster.set(up.ID, up)
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -271,7 +271,7 @@
 			c.completeUpkeep(w, m, "done before")
 			return
 		}
-		if up != nil && (up.ID != m.previousUpstream || up.StartedMS > m.previousStartedMS) && c.now > m.since+c.Bounds.UpkeepDuration/2 {
+		if up != nil && (up.ID != m.previousUpstream || up.StartedMS != m.previousStartedMS) && c.now > m.since+c.Bounds.UpkeepDuration/2 {
 			up.cordoned = false
 			c.completeUpkeep(w, m, "entry")
 		}
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -9,8 +9,9 @@
 
 // upstream is the owner's view of one upstream.
 type upstream struct {
-	platform.Upstream // StartedMS is of the known life
-	*life             // the known life
+	platform.Upstream         // StartedMS is of the known life
+	*life                     // the known life
+	endedLives        []int64 // start times of the lives before, at most maxEndedLives
 	rack              string
 	listed            bool // it has an entry in the store
 	terminated        bool // it definitely runs nothing any more; kept until its runs are detached
