--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -30,7 +30,7 @@
 		up.pollSeq++
 		up.polledAt = c.now
 		up.pollDeadline = 0
-		request := platform.PollRequest{Token: c.Token, AckedSeq: up.ackable}
+		request := platform.PollRequest{Token: c.Token, AckedSeq: c.ackToSend(up)}
 		// A poll does not extend the lease of an upstream that does not answer, because its runs have to end at a
 		// known time.
 		if up.runs.len() > 0 && up.fenced && up.failedPolls == 0 && c.mayExtendLease(up) {
@@ -55,7 +55,7 @@
 // pollDue returns the earliest time of the next poll. An upstream answers a poll at once while it lists ends that are
 // not acknowledged, so the next poll waits until they can be acknowledged, but at most for unstoredPollInterval.
 func (u *upstream) pollDue() time.Duration {
-	if len(u.pendingAcks) > 0 && u.failedPolls == 0 && !u.inDoubt {
+	if len(u.pendingAcks) > 0 && u.failedPolls == 0 && !u.inDoubt && !u.ackWithheld {
 		return max(u.nextPoll, u.lastResponseAt+unstoredPollInterval)
 	}
 	return u.nextPoll
