schedule: the end of a superfluous run does not queue its task again

The log said "task to be started again" while another run of the task went on, and the time from which the task counts as waiting was reset.

--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -220,7 +220,9 @@
 
 // requeue makes a task eligible for another start after a run without success.
 func (c *Core) requeue(r *run, reason, checkpoint string) {
-	r.task().requeuedAt = c.now
+	if t := r.task(); !t.runsElsewhere(r) {
+		t.requeuedAt = c.now
+	}
 	c.requeueUnstarted(r, reason, checkpoint)
 }
 
@@ -230,7 +232,7 @@
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
-	if t.done || r.part.job.phase.Terminal() {
+	if t.done || r.part.job.phase.Terminal() || t.runsElsewhere(r) {
 		return
 	}
 	c.queuePart(r.part)
@@ -239,6 +241,9 @@
 		"upstream", r.up.ID, "reason", reason, "ran_ms", (c.now - r.started).Milliseconds(), "checkpoint", t.checkpoint != "")
 }
 
+// runsElsewhere reports whether the task has another run, beside which none is to be started.
+func (t *task) runsElsewhere(r *run) bool { return len(t.runs) > 0 && !r.part.step.Speculative }
+
 // stopRun ends a run that is no longer wanted.
 func (c *Core) stopRun(r *run, reason string) {
 	if r.detached || r.state == runStopping || r.state == runStopped {
