schedule: a task is not charged with the loss of a life on which it never ran

A task whose start the new life had answered was charged with the crash of the earlier one, and was suspected; it could be held back or given up. A run that no life has listed is charged only once it is known to have been on the lost life: when the new life does not list it, or its lease has ended.

--- a/schedule/life.go
+++ b/schedule/life.go
@@ -158,11 +158,14 @@
 // be those of the new life, which may have received their starts.
 func (c *Core) handleRestart(up *upstream, startedMS int64, shownBy string) {
 	c.logRestart(up, startedMS, shownBy)
-	c.noteLoss(up, true)
+	c.prepareCharges(up, true)
 	c.allowForStaleDeadline(up)
 	c.abandonPoll(up)
 	var lost, unproved []*run
 	for _, r := range up.runs.all() {
+		if r.heldBy == up.life || !r.startAnswered {
+			c.applyCharge(r)
+		}
 		if r.mayBeOfNextLife() {
 			unproved = append(unproved, r)
 		} else {
--- a/schedule/losses.go
+++ b/schedule/losses.go
@@ -48,6 +48,14 @@
 // noteLoss records that an upstream that this owner followed was lost, and counts it against the tasks whose runs could be
 // the cause. An upstream that was expected to go has not crashed.
 func (c *Core) noteLoss(up *upstream, crashed bool) {
+	c.prepareCharges(up, crashed)
+	for _, r := range up.runs.all() {
+		c.applyCharge(r)
+	}
+}
+
+// prepareCharges records the loss of an upstream and marks the runs that could be the cause.
+func (c *Core) prepareCharges(up *upstream, crashed bool) {
 	if up.Draining || up.cordoned || !up.fenced {
 		return
 	}
@@ -57,9 +65,25 @@
 		c.askPeers(l)
 	}
 	for _, r := range suspects {
-		l.suspects = append(l.suspects, suspectRun{r.part, r.index, r.attempt})
-		c.suspect(r.part, job.TaskCrash{Index: r.index, Attempt: r.attempt, Alone: len(suspects) == 1, Unproved: true}, up.ID)
+		r.charge = &charge{l, len(suspects) == 1}
+	}
+}
+
+// charge is the loss of an upstream for which a run is to be charged, once it is known that the lost life had the run.
+type charge struct {
+	loss  *loss
+	alone bool // no other run could have caused it
+}
+
+// applyCharge counts the loss of the run's upstream, if there is one to be counted, against the run's task.
+func (c *Core) applyCharge(r *run) {
+	if r.charge == nil {
+		return
 	}
+	l, alone := r.charge.loss, r.charge.alone
+	r.charge = nil
+	l.suspects = append(l.suspects, suspectRun{r.part, r.index, r.attempt})
+	c.suspect(r.part, job.TaskCrash{Index: r.index, Attempt: r.attempt, Alone: alone, Unproved: true}, l.upstream.ID)
 }
 
 // noteUnlisted records that an upstream has lost its entry. A lease that has expired was then that of a crash.
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -9,7 +9,7 @@
 
 // updateFromList updates the run from its row in an upstream's response to a poll.
 func (r *run) updateFromList(c *Core, row platform.CurrentRun, seq uint64) {
-	r.lastListed, r.heldBy = seq, r.up.life
+	r.lastListed, r.heldBy, r.charge = seq, r.up.life, nil
 	r.gauge, r.progress = row.Gauge, row.Percent
 	c.clearSuspicion(r)
 	r.noteAtWork()
@@ -25,6 +25,9 @@
 
 // handleUnlisted handles a run that is missing from a response that should have listed it.
 func (c *Core) handleUnlisted(r *run) {
+	if r.state == runStopped || r.state == runRunning {
+		c.applyCharge(r)
+	}
 	switch r.state {
 	case runStopped:
 		c.detach(r)
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -51,6 +51,7 @@
 	startAnswered bool          // a copy of the start was answered with success
 	heldBy        *life         // the life of its upstream that has listed it; nil: none has
 	startDeadline int64         // latest deadline of its copies, on the clock of the life for which they were meant
+	charge        *charge       // for the loss of its upstream, not counted yet; nil: none
 	answeredAt    time.Duration // when a copy of the start was answered with success; 0: none was
 	answerClockMS int64         // the upstream's clock in that answer
 
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -118,6 +118,7 @@
 			"heard_ms_ago", (c.now - up.lastResponseAt).Milliseconds())
 	}
 	for _, r := range runs {
+		c.applyCharge(r)
 		c.detach(r)
 		c.requeue(r, "upstream lost", r.checkpoint)
 	}
