--- a/schedule/life.go
+++ b/schedule/life.go
@@ -222,6 +222,10 @@
 	if deadline > 0 {
 		up.minLeaseEnd = max(up.minLeaseEnd, c.now+c.longestStaleLease(deadline)+leaseSlack)
 	}
+	if up.inherited && up.earlierLeaseEnd > 0 {
+		// The earlier owner did not know of this life, and may have started tasks there.
+		up.minLeaseEnd = max(up.minLeaseEnd, c.EarlierEnded+c.longestStaleLease(c.Bounds.MaxLease.Milliseconds())+leaseSlack)
+	}
 }
 
 // answeredLeaseEnd returns the time by which the lease has ended that an answered start may have granted, whichever life answered.
