--- a/schedule/life.go
+++ b/schedule/life.go
@@ -184,6 +184,7 @@
 	up.reconciled = up.reconciled || earlier.fenced
 	up.terminated = false
 	up.cordoned = c.mayEndByCommand(up)
+	c.dropTickets(up)
 	c.noteLongLease(up)
 }
 
--- a/schedule/tickets.go
+++ b/schedule/tickets.go
@@ -148,3 +148,16 @@
 	c.Log("advice", "job", request.Job, "step", request.Step, "asked", len(request.Upstreams), "allowed", len(result.ByUpstream),
 		"validity_ms", result.Validity.Milliseconds())
 }
+
+// dropTickets forgets the tickets for an upstream that has started anew: they were valid for its life before.
+func (c *Core) dropTickets(up *upstream) {
+	if !c.anyAdvised {
+		return
+	}
+	for p := range c.pool(up.Pool).parts.all() {
+		if p.tickets != nil {
+			delete(p.tickets.byUpstream, up.ID)
+			delete(p.tickets.asked, up.ID)
+		}
+	}
+}
