--- a/schedule/life.go
+++ b/schedule/life.go
@@ -193,6 +193,16 @@
 	return r.mayStillStart() || r.startAnswered && r.heldBy != r.up.life
 }
 
+// mayRunOnNextLife reports whether the life after the known one may have runs already.
+func (u *upstream) mayRunOnNextLife() bool {
+	for _, r := range u.runs.all() {
+		if r.mayBeOfNextLife() {
+			return true
+		}
+	}
+	return false
+}
+
 // keepOverRestart keeps a run that the new life of its upstream may have, until a poll shows whether it has. A copy of the start that
 // is not accounted for may be carried out at any time, so the run is stopped: the new life rejects the copy then.
 func (c *Core) keepOverRestart(r *run) {
