schedule: a run that the new life of its upstream may have is not stopped before a poll shows that it has not

A start without an answer was stopped as soon as its upstream was known to have started anew, though the new life may have carried it out. It is now kept until a poll of the new life: if that lists it, it goes on, otherwise the stop bars the copies that are still under way, as before. TestRunThatTheNewLifeHasBegunIsNotStopped failed before.

--- a/schedule/life.go
+++ b/schedule/life.go
@@ -203,18 +203,26 @@
 	return false
 }
 
-// keepOverRestart keeps a run that the new life of its upstream may have, until a poll shows whether it has. A copy of the start that
-// is not accounted for may be carried out at any time, so the run is stopped: the new life rejects the copy then.
+// keepOverRestart keeps a run that the new life of its upstream may have, until a poll shows whether it has.
 func (c *Core) keepOverRestart(r *run) {
 	r.begunMS, r.confirmedPace, r.requestedPace = 0, fullPercent, fullPercent
 	switch {
 	case r.state == runStopped || r.state == runStopping:
 		c.beginStop(r) // the new life knows nothing of the stop
-	case r.mayStillStart():
-		c.stopRun(r, "its upstream has started anew")
+	case r.heldBy != nil:
+		c.stopStrayCopies(r)
+	default:
+		r.awaitsNewLife = true
 	}
 }
 
+// stopStrayCopies stops a run that the present life of its upstream does not have, while a copy of its start may still be carried out
+// there: the upstream rejects the copy then.
+func (c *Core) stopStrayCopies(r *run) {
+	r.awaitsNewLife = false
+	c.stopRun(r, "its upstream has started anew")
+}
+
 // allowForStaleDeadline allows for the lease that the next life of an upstream may have: it may have carried out a poll or a start
 // with a deadline on the clock of the life before. Stops and changes of pace carry no deadline.
 func (c *Core) allowForStaleDeadline(up *upstream) {
--- /dev/null
+++ b/schedule/newliferun_test.go
@@ -0,0 +1,34 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/platform"
+)
+
+// Guards against a stop of a run that works (AVAIL, and work thrown away): its start got no answer, its upstream started anew, and the
+// new life has carried the start out.
+func TestRunThatTheNewLifeHasBegunIsNotStopped(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.addUpstream("u-1")
+	h.fenceAll(platform.PollResult{})
+	h.addUniformJob(1, 1, 1000)
+	start := h.decide().starts[0]
+	h.core.HandleStartResult(start, 0, lostStart)
+	entry := upstreamEntry("u-1", 16000)
+	entry.StartedMS = 2
+	h.core.SetUpstream(entry)
+	c := h.decide()
+	is.Equal(len(c.stops), 0)
+	is.Equal(len(c.polls), 1)
+	listed := platform.CurrentRun{Task: start.Command.Task, Attempt: start.Command.Attempt}
+	h.core.HandlePollResult(c.polls[0], platform.PollResult{StartedMS: 2, ClockMS: 40, Running: []platform.CurrentRun{listed}}, nil)
+	h.advance(100 * time.Millisecond)
+	c = h.decide()
+	is.Equal(len(c.stops), 0)
+	is.Equal(len(c.starts), 0)
+}
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -9,7 +9,7 @@
 
 // updateFromList updates the run from its row in an upstream's response to a poll.
 func (r *run) updateFromList(c *Core, row platform.CurrentRun, seq uint64) {
-	r.lastListed, r.heldBy, r.charge = seq, r.up.life, nil
+	r.lastListed, r.heldBy, r.charge, r.awaitsNewLife = seq, r.up.life, nil, false
 	r.gauge, r.progress = row.Gauge, row.Percent
 	c.clearSuspicion(r)
 	r.noteAtWork()
@@ -28,6 +28,10 @@
 	if r.state == runStopped || r.state == runRunning {
 		c.applyCharge(r)
 	}
+	if r.awaitsNewLife && r.mayStillStart() {
+		c.stopStrayCopies(r)
+		return
+	}
 	switch r.state {
 	case runStopped:
 		c.detach(r)
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -49,6 +49,7 @@
 	lostStarts    int
 	startInFlight bool          // a copy of the start is in flight
 	startAnswered bool          // a copy of the start was answered with success
+	awaitsNewLife bool          // its upstream has started anew, and no poll has shown yet whether the new life has the run
 	heldBy        *life         // the life of its upstream that has listed it; nil: none has
 	startDeadline int64         // latest deadline of its copies, on the clock of the life for which they were meant
 	charge        *charge       // for the loss of its upstream, not counted yet; nil: none
@@ -292,6 +293,7 @@
 		switch r.state {
 		case runUnknown:
 			switch {
+			case r.awaitsNewLife:
 			case !c.mayExtendLease(r.up): // which a start would
 			case r.unanswered < maxStartAttempts && !r.up.isOverCapacity():
 				c.sendStart(r, c.ticketFor(r.part, r.up))
