--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -80,7 +80,7 @@
 		"starts": stats.Starts, "done": stats.Done, "failed": stats.Failed, "requeued": stats.Requeued,
 		"stops": stats.Stops, "looks": stats.Polls, "refused": stats.RejectedStarts, "moves": stats.Moves, "jobs": jobs,
 		"upstreams": upstreams, "long_running_waiting": stats.LongRunningWaiting,
-		"long_running_unconfirmed": stats.LongRunningUnconfirmed, "restarts": stats.Restarts,
+		"long_running_unconfirmed": stats.LongRunningUnconfirmed, "restarts": stats.Restarts, "doubts": stats.Doubts,
 	} {
 		m.ownerCounts.WithLabelValues(kind).Set(float64(n))
 	}
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -6,7 +6,7 @@
 	"citrongauge.example/citrongauge/platform"
 )
 
-// Which upstreams there are: their entries in the store, the roster of earlier owners, and new incarnations.
+// Which upstreams there are: their entries in the store, the roster of earlier owners, and new lives.
 
 // SetUpstream applies an upstream's entry in the store.
 func (c *Core) SetUpstream(entry platform.Upstream) {
@@ -15,7 +15,7 @@
 		return // a stale entry of an upstream that has terminated
 	}
 	if up != nil && (up.Address != entry.Address || up.Pool != entry.Pool) {
-		if !c.isNewIncarnation(up, entry) || up.Address == entry.Address && up.mayRunOnNextLife() {
+		if !c.isNewLife(up, entry) || up.Address == entry.Address && up.mayRunOnNextLife() {
 			c.Log("entry contradicts its upstream", "upstream", entry.ID, "pool", entry.Pool, "address", entry.Address,
 				"born", entry.StartedMS, "known_pool", up.Pool, "known_address", up.Address, "known_born", up.StartedMS)
 			c.UnlistUpstream(entry.ID)
@@ -58,9 +58,9 @@
 	c.noteNewestUpstream(up)
 }
 
-// isNewIncarnation reports whether an entry with another address or pool can be the upstream's own: it has started since,
+// isNewLife reports whether an entry with another address or pool can be the upstream's own: it has started since,
 // in a pool of the configuration. Otherwise another program has written the entry, and the upstream may work on.
-func (c *Core) isNewIncarnation(up *upstream, entry platform.Upstream) bool {
+func (c *Core) isNewLife(up *upstream, entry platform.Upstream) bool {
 	return entry.StartedMS > up.StartedMS && (!c.bundleSet || c.isConfigured(entry.Pool))
 }
 
--- a/schedule/losses.go
+++ b/schedule/losses.go
@@ -29,7 +29,7 @@
 // loss is an upstream that was lost, or whose entry was removed.
 type loss struct {
 	upstream  *upstream
-	startedMS int64         // of its lost incarnation
+	startedMS int64         // of its lost life
 	from, to  time.Duration // it was heard last at from and was silent or known to have ended at to
 	suspects  []suspectRun
 	explained bool // one of its runs could be the cause
@@ -118,7 +118,7 @@
 	return n
 }
 
-// lossOf returns the recorded loss of the upstream's incarnation, or nil.
+// lossOf returns the recorded loss of the upstream's life, or nil.
 func (c *Core) lossOf(up *upstream) *loss {
 	for _, l := range c.losses {
 		if l.upstream.ID == up.ID && l.startedMS == up.StartedMS {
@@ -275,7 +275,7 @@
 	return near, ofPool
 }
 
-// noteAlive withdraws the loss of an upstream that answers, or has an entry again, in the same incarnation: it was only cut
+// noteAlive withdraws the loss of an upstream that answers, or has an entry again, in the same life: it was only cut
 // off.
 func (c *Core) noteAlive(up *upstream) {
 	if len(c.losses) == 0 {
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -136,7 +136,7 @@
 	}
 	c.handleEnds(up, result.Ended)
 	c.handleRunning(up, result.Running, poll.seq)
-	c.noteIncarnation(up)
+	c.noteStoredLife(up)
 	if first {
 		c.Log("upstream fenced", "upstream", up.ID, "token", c.Token, "born", up.StartedMS, "clock_ms", result.ClockMS, "running", len(result.Running),
 			"ended", len(result.Ended))
@@ -163,9 +163,9 @@
 	up.inDoubt, up.doubtfulMS = false, 0
 }
 
-// noteIncarnation compares the incarnation of an upstream that has answered with the one in the stored roster, which it
+// noteStoredLife compares the life of an upstream that has answered with the one in the stored roster, which it
 // updates.
-func (c *Core) noteIncarnation(up *upstream) {
+func (c *Core) noteStoredLife(up *upstream) {
 	if up.StartedMS != up.storedStartMS {
 		c.countUnseenCrash(up)
 		up.storedStartMS = up.StartedMS
