--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -3,11 +3,10 @@
 import (
 	"time"
 
-	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 )
 
-// Which upstreams there are: their entries in the store, the roster of earlier owners, and new incarnations.
+// Which upstreams there are: their entries in the store, the roster of earlier owners, and new lives.
 
 // SetUpstream applies an upstream's entry in the store.
 func (c *Core) SetUpstream(entry platform.Upstream) {
@@ -16,7 +15,7 @@
 		return // a stale entry of an upstream that has terminated
 	}
 	if up != nil && (up.Address != entry.Address || up.Pool != entry.Pool) {
-		if !c.isNewIncarnation(up, entry) {
+		if !c.isNewLife(up, entry) || up.Address == entry.Address && up.mayRunOnNextLife() {
 			c.Log("entry contradicts its upstream", "upstream", entry.ID, "pool", entry.Pool, "address", entry.Address,
 				"born", entry.StartedMS, "known_pool", up.Pool, "known_address", up.Address, "known_born", up.StartedMS)
 			c.UnlistUpstream(entry.ID)
@@ -25,12 +24,13 @@
 		}
 		up.contradiction = nil
 		c.noteLoss(up, true)
-		c.loseRuns(up, "its entry names another address or pool")
+		c.loseAllRuns(up, "its entry names another address or pool")
 		c.removeUpstream(up)
 		up = nil
 	}
 	if up == nil {
-		up = &upstream{Upstream: entry, storedStartMS: entry.StartedMS, addedAt: c.now, runs: newOrderedMap[job.TaskID, *run]()}
+		up = newUpstream()
+		up.Upstream, up.storedStartMS, up.addedAt = entry, entry.StartedMS, c.now
 		up.cordoned = c.mayEndByCommand(up)
 		c.upstreams.set(entry.ID, up)
 		c.pool(entry.Pool).addUpstream(up)
@@ -39,18 +39,15 @@
 			"cpu", entry.Capacity.MilliCPU, "pool", entry.Pool, "zone", entry.Zone,
 			"draining", entry.Draining, "cordoned", up.cordoned)
 	}
-	if up.StartedMS != 0 && entry.StartedMS != 0 && entry.StartedMS > up.StartedMS {
-		var pollDeadline int64
-		if up.polling {
-			pollDeadline = up.pollDeadline
-		}
-		c.logRestart(up, entry.StartedMS, "entry")
-		c.handleRestart(up, entry.StartedMS, pollDeadline)
+	if up.isEnded(entry.StartedMS) {
+		c.Log("entry of an earlier life", "upstream", up.ID, "born", entry.StartedMS, "known_born", up.StartedMS)
+		return
 	}
+	c.noteEntryLife(up, entry.StartedMS)
 	if entry.Draining && !up.Draining {
 		c.Log("upstream draining", "upstream", entry.ID, "remaining_ms", entry.DrainRemaining.Milliseconds(), "runs", up.runs.len())
 	}
-	startedMS := max(up.StartedMS, entry.StartedMS)
+	startedMS := up.StartedMS
 	up.Upstream = entry
 	up.StartedMS = startedMS
 	up.rack = platform.RackOf(entry.Labels)
@@ -61,9 +58,9 @@
 	c.noteNewestUpstream(up)
 }
 
-// isNewIncarnation reports whether an entry with another address or pool can be the upstream's own: it has started since,
+// isNewLife reports whether an entry with another address or pool can be the upstream's own: it has started since,
 // in a pool of the configuration. Otherwise another program has written the entry, and the upstream may work on.
-func (c *Core) isNewIncarnation(up *upstream, entry platform.Upstream) bool {
+func (c *Core) isNewLife(up *upstream, entry platform.Upstream) bool {
 	return entry.StartedMS > up.StartedMS && (!c.bundleSet || c.isConfigured(entry.Pool))
 }
 
@@ -114,10 +111,10 @@
 		c.upstreams.get(entry.ID).stored = true
 		return
 	}
-	up := &upstream{
-		Upstream: entry, runs: newOrderedMap[job.TaskID, *run](), stored: true, rack: platform.RackOf(entry.Labels),
-		inherited: true, storedStartMS: entry.StartedMS, earlierLeaseEnd: c.earlierLeaseEnd(entry.ID),
-	}
+	up := newUpstream()
+	up.Upstream, up.rack = entry, platform.RackOf(entry.Labels)
+	up.stored, up.inherited, up.storedStartMS = true, true, entry.StartedMS
+	up.earlierLeaseEnd = c.earlierLeaseEnd(entry.ID)
 	c.upstreams.set(entry.ID, up)
 	c.pool(entry.Pool).addUpstream(up)
 	c.noteNewestUpstream(up)
@@ -168,60 +165,3 @@
 		}
 	}
 }
-
-// handleRestart handles the restart of an upstream under the same ID: its earlier runs have ended, and the sequence
-// numbers of its ends begin again. pollDeadline is the lease deadline of a poll that the new incarnation may carry out; 0: none.
-func (c *Core) handleRestart(up *upstream, startedMS int64, pollDeadline int64) {
-	c.noteLoss(up, true)
-	up.StartedMS = startedMS
-	c.allowForStaleDeadline(up, pollDeadline)
-	var mayStart []*run
-	for _, r := range up.runs.all() {
-		if r.mayStillStart() {
-			mayStart = append(mayStart, r)
-			up.runs.delete(r.id())
-		}
-	}
-	c.loseRuns(up, "it has started anew")
-	// A start does not say for which incarnation of the upstream it is meant, so the new one may carry out a start
-	// that is in flight.
-	for _, r := range mayStart {
-		up.runs.set(r.id(), r)
-		c.stopRun(r, "its upstream has started anew")
-		if r.state == runStopped {
-			c.beginStop(r) // the new incarnation knows nothing of the stop
-		}
-	}
-	up.restartedAt = c.now
-	up.lastHandledEnd, up.ackable, up.ackConfirmed, up.pendingAcks = 0, 0, 0, nil
-	// An upstream that this owner has not fenced yet may have restarted before an earlier owner started tasks there.
-	up.reconciled = up.reconciled || up.fenced
-	up.fenced, up.terminated, up.moreEnds, up.maxDeadline, up.clockMS = false, false, false, 0, 0
-	up.cordoned = c.mayEndByCommand(up)
-	up.nextPoll = c.now
-	up.health = health{}
-	c.noteLongLease(up)
-}
-
-// allowForStaleDeadline allows for a longer lease of an upstream that has started anew if a poll that extends the lease is in
-// flight, or a copy of a start is not accounted for. The new incarnation may execute it, and the deadline is on the clock of the
-// earlier one. Stops and changes of pace carry no deadline.
-func (c *Core) allowForStaleDeadline(up *upstream, pollDeadline int64) {
-	deadline := pollDeadline
-	for _, r := range up.runs.all() {
-		if r.mayStillStart() {
-			deadline = max(deadline, r.startDeadline)
-		}
-	}
-	if deadline > 0 {
-		up.minLeaseEnd = max(up.minLeaseEnd, c.now+c.longestStaleLease(deadline)+leaseSlack)
-	}
-}
-
-// longestStaleLease returns how long runs may go on, from when the restart of their upstream is known, if a new incarnation executes
-// a command with a deadline of the earlier clock: it does so within maxCommandTime, and its runs then last for the platform's
-// longest lease, but only until its own clock, which has begun at 0 or later, shows the deadline.
-func (c *Core) longestStaleLease(deadlineMS int64) time.Duration {
-	lease := min(c.Bounds.MaxLease, time.Duration(deadlineMS)*time.Millisecond)
-	return maxCommandTime + time.Duration(float64(lease)/minClockRate)
-}
--- a/schedule/losses.go
+++ b/schedule/losses.go
@@ -29,7 +29,7 @@
 // loss is an upstream that was lost, or whose entry was removed.
 type loss struct {
 	upstream  *upstream
-	startedMS int64         // of its lost incarnation
+	startedMS int64         // of its lost life
 	from, to  time.Duration // it was heard last at from and was silent or known to have ended at to
 	suspects  []suspectRun
 	explained bool // one of its runs could be the cause
@@ -48,6 +48,14 @@
 // noteLoss records that an upstream that this owner followed was lost, and counts it against the tasks whose runs could be
 // the cause. An upstream that was expected to go has not crashed.
 func (c *Core) noteLoss(up *upstream, crashed bool) {
+	c.prepareCharges(up, crashed)
+	for _, r := range up.runs.all() {
+		c.applyCharge(r)
+	}
+}
+
+// prepareCharges records the loss of an upstream and marks the runs that could be the cause.
+func (c *Core) prepareCharges(up *upstream, crashed bool) {
 	if up.Draining || up.cordoned || !up.fenced {
 		return
 	}
@@ -57,9 +65,25 @@
 		c.askPeers(l)
 	}
 	for _, r := range suspects {
-		l.suspects = append(l.suspects, suspectRun{r.part, r.index, r.attempt})
-		c.suspect(r.part, job.TaskCrash{Index: r.index, Attempt: r.attempt, Alone: len(suspects) == 1, Unproved: true}, up.ID)
+		r.charge = &charge{l, len(suspects) == 1}
+	}
+}
+
+// charge is the loss of an upstream for which a run is to be charged, once it is known that the lost life had the run.
+type charge struct {
+	loss  *loss
+	alone bool // no other run could have caused it
+}
+
+// applyCharge counts the loss of the run's upstream, if there is one to be counted, against the run's task.
+func (c *Core) applyCharge(r *run) {
+	if r.charge == nil {
+		return
 	}
+	l, alone := r.charge.loss, r.charge.alone
+	r.charge = nil
+	l.suspects = append(l.suspects, suspectRun{r.part, r.index, r.attempt})
+	c.suspect(r.part, job.TaskCrash{Index: r.index, Attempt: r.attempt, Alone: alone, Unproved: true}, l.upstream.ID)
 }
 
 // noteUnlisted records that an upstream has lost its entry. A lease that has expired was then that of a crash.
@@ -94,7 +118,7 @@
 	return n
 }
 
-// lossOf returns the recorded loss of the upstream's incarnation, or nil.
+// lossOf returns the recorded loss of the upstream's life, or nil.
 func (c *Core) lossOf(up *upstream) *loss {
 	for _, l := range c.losses {
 		if l.upstream.ID == up.ID && l.startedMS == up.StartedMS {
@@ -105,7 +129,7 @@
 }
 
 // heardAt returns when the upstream was last known to live.
-func (u *upstream) heardAt() time.Duration { return max(u.lastResponseAt, u.clockAt) }
+func (u *upstream) heardAt() time.Duration { return max(u.lastResponseAt, u.clock.readAt) }
 
 // noteUnanswered records that a call to the upstream was not answered.
 func (u *upstream) noteUnanswered(now time.Duration) {
@@ -251,7 +275,7 @@
 	return near, ofPool
 }
 
-// noteAlive withdraws the loss of an upstream that answers, or has an entry again, in the same incarnation: it was only cut
+// noteAlive withdraws the loss of an upstream that answers, or has an entry again, in the same life: it was only cut
 // off.
 func (c *Core) noteAlive(up *upstream) {
 	if len(c.losses) == 0 {
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -9,7 +9,7 @@
 
 // updateFromList updates the run from its row in an upstream's response to a poll.
 func (r *run) updateFromList(c *Core, row platform.CurrentRun, seq uint64) {
-	r.lastListed = seq
+	r.lastListed, r.heldBy, r.charge, r.awaitsNewLife = seq, r.up.life, nil, false
 	r.gauge, r.progress = row.Gauge, row.Percent
 	c.clearSuspicion(r)
 	r.noteAtWork()
@@ -25,6 +25,13 @@
 
 // handleUnlisted handles a run that is missing from a response that should have listed it.
 func (c *Core) handleUnlisted(r *run) {
+	if r.state == runStopped || r.state == runRunning {
+		c.applyCharge(r)
+	}
+	if r.awaitsNewLife && r.mayStillStart() {
+		c.stopStrayCopies(r)
+		return
+	}
 	switch r.state {
 	case runStopped:
 		c.detach(r)
@@ -75,7 +82,7 @@
 func (c *Core) stopUnknown(up *upstream, row platform.CurrentRun) {
 	up.unknownRuns++
 	c.Log("stop", "task", row.Task.String(), "attempt", row.Attempt, "upstream", up.ID, "reason", "its job is not known")
-	c.calls = append(c.calls, Stop{Target: up.target(), Command: platform.StopCommand{
+	c.calls = append(c.calls, Stop{Target: up.target(), meant: c.meantFor(up), Command: platform.StopCommand{
 		Task: row.Task, Attempt: row.Attempt, Token: c.Token,
 	}})
 }
