--- a/schedule/livesim_test.go
+++ b/schedule/livesim_test.go
@@ -326,15 +326,20 @@
 		u.unreachable, sim.lives.gone[u.id] = true, true
 		sim.lives.cuts[u.id] = simCut{sim.now, sim.now + time.Hour}
 		sim.log("SIM cut off for good", u.id)
-		sim.disturb(sim.delay("entry stays", 3000), func() {
-			u.unlisted = true
-			if !sim.owner.dead {
-				sim.owner.core.UnlistUpstream(u.id)
-			}
-		})
+		sim.disturb(sim.delay("entry stays", 3000), func() { sim.unlistSeen(u) })
 	})
 }
 
+// unlistSeen removes the entry of an upstream that is gone, once an owner has seen it: otherwise nobody could know of its last life.
+func (sim *simulation) unlistSeen(u *simUpstream) {
+	if sim.owner.dead {
+		sim.disturb(100*time.Millisecond, func() { sim.unlistSeen(u) })
+		return
+	}
+	u.unlisted = true
+	sim.owner.core.UnlistUpstream(u.id)
+}
+
 // goneAfterStarts cuts an upstream off for good soon after its new life, which begins at the given time, may have begun long runs.
 func (sim *simulation) goneAfterStarts(u *simUpstream, at time.Duration) {
 	at += sim.delay("submit", 100)
@@ -403,8 +408,8 @@
 		return 0, false
 	}
 	life := u.startedMS
-	if poll, ok := pending.call.(schedule.Poll); ok {
-		life = h.pollLife[poll.Target.ID]
+	if _, ok := pending.call.(schedule.Poll); ok {
+		life = pending.connection
 	} else if rapid.Bool().Draw(sim.t, "new connection") {
 		life = 0
 	}
@@ -428,8 +433,7 @@
 	if _, ok := pending.call.(schedule.Poll); !ok || h == nil || pending.targetStartedMS != 0 {
 		return false
 	}
-	life := h.pollLife[u.id]
-	return h.silentEnd[u.id] && life != 0 && life != u.startedMS
+	return h.silentEnd[u.id] && pending.connection != 0 && pending.connection != u.startedMS
 }
 
 // noteAnswer notes to which life the connection leads on which a call was answered.
@@ -447,17 +451,19 @@
 	}
 }
 
-// noteSent notes that a poll is sent beside one that the owner no longer waits for, whose connection is busy.
-func (h *livesHistory) noteSent(sim *simulation, call schedule.Call) {
+// connection returns the life to which the connection leads on which a poll is sent now: none beside a poll that the owner no longer
+// waits for, whose connection is busy.
+func (h *livesHistory) connection(sim *simulation, call schedule.Call) int64 {
 	poll, ok := call.(schedule.Poll)
 	if !ok || h == nil {
-		return
+		return 0
 	}
 	for _, other := range sim.calls {
 		if earlier, ok := other.call.(schedule.Poll); ok && earlier.Target.ID == poll.Target.ID {
 			h.pollLife[poll.Target.ID] = 0
 		}
 	}
+	return h.pollLife[poll.Target.ID]
 }
 
 // simTimeout returns how long an owner waits for the response to a call.
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -76,6 +76,7 @@
 	owner           *simOwner
 	call            schedule.Call
 	sentAt          time.Duration
+	connection      int64         // of a poll, the life to which its connection leads; 0: it is new
 	at              time.Duration // when it is executed
 	targetStartedMS int64         // start time of its upstream, for a delayed call that a restart drops; 0: any
 	responseLost    bool
@@ -241,8 +242,8 @@
 		if _, ok := call.(schedule.CloseConnections); ok {
 			continue // connections are not simulated
 		}
-		sim.lives.noteSent(sim, call)
 		pending := &pendingCall{owner: o, call: call, sentAt: sim.now, at: sim.now + sim.delay("way", 30)}
+		pending.connection = sim.lives.connection(sim, call)
 		if !sim.faultsEnded && (sim.services == nil || sim.services.lossy > 0) {
 			switch rapid.IntRange(0, 29).Draw(sim.t, "fate") {
 			case 0:
