schedule: a life that answers a poll is not an ended one (DRAIN)

Callers saw tasks start on an upstream whose entry had said for long that it drains. Its time of day had jumped back, so its current life has a lower start time than the one before. A new owner had the current life from the roster; the store still had the entry of the life before, which was taken for a later one. The next poll showed the current life again, but its start time stayed among those of ended lives, and all its entries were ignored from then on.

TestEntryOfTheLifeInTheRosterIsFollowedAfterAnOlderOne failed before: a start after the entry that drains.

--- a/schedule/life.go
+++ b/schedule/life.go
@@ -96,6 +96,11 @@
 	u.endedLives = u.endedLives[max(0, len(u.endedLives)-maxEndedLives):]
 }
 
+// noteNotEnded forgets that a life has ended: it has answered a poll, so a late entry was taken for that of a later one.
+func (u *upstream) noteNotEnded(startedMS int64) {
+	u.endedLives = slices.DeleteFunc(u.endedLives, func(ended int64) bool { return ended == startedMS })
+}
+
 // noteEntryLife follows what an upstream's entry says of its life, which is none that has ended. A later start than that of the known
 // life proves that this has ended. An earlier one may be that of a newer life whose time of day is behind, or of an older entry: a poll
 // decides.
@@ -175,6 +180,7 @@
 	c.loseRuns(up, lost, "it has started anew")
 	earlier := up.life
 	up.noteEnded(up.StartedMS)
+	up.noteNotEnded(startedMS)
 	up.StartedMS, up.life = startedMS, &life{reconnect: true}
 	for _, r := range unproved {
 		c.keepOverRestart(r)
