schedule: ends are acknowledged while starts are in flight for long (Acks)

Callers saw ends that were listed for seconds and not acknowledged, until the list is full: no poll acknowledges while a start that no response has listed is in flight for over 100 ms, which on a busy upstream behind a slow link is always so. Each poll is answered at once then, so the upstream is polled every 50 ms as well.

A start in flight now counts only if the last response to a poll is also older than 100 ms. The time in which a life can end unnoticed and the next one begin and end a task is no longer than for a start that was sent just now, which never counted.

--- a/schedule/life.go
+++ b/schedule/life.go
@@ -295,9 +295,9 @@
 }
 
 // mayHaveBegunUnseen reports whether a copy of the run's start may have been carried out since the last response to a poll, by a life
-// that is not known yet.
+// that is not known yet. A start that is in flight for long says so only if that response is as old: under load many are.
 func (r *run) mayHaveBegunUnseen(now time.Duration) bool {
-	isAwaited := r.startInFlight && now > r.started+promptResponse
+	isAwaited := r.startInFlight && now > max(r.started, r.up.lastResponseAt)+promptResponse
 	return isAwaited || r.lostStarts > 0 && r.up.answeredSeq <= r.pollSeqAtReturn
 }
 
--- a/schedule/lifefleet_test.go
+++ b/schedule/lifefleet_test.go
@@ -22,12 +22,14 @@
 	noPoll map[string]bool // upstreams that polls do not reach
 	// pollDelay is the time on the way of the polls that are sent from now on.
 	pollDelay time.Duration
-	lasts     map[job.ID]time.Duration // how long the runs of a job take; 0: they do not end
-	due       []timedEvent
-	logged    []logLine
-	phases    map[job.ID]job.Phase // as stored
-	starts    []schedule.Start     // that an upstream has received
-	tickets   bool                 // starts need the ticket of the upstream's life
+	// startDelay is the time on the way of the starts that are sent from now on; they are answered at once.
+	startDelay time.Duration
+	lasts      map[job.ID]time.Duration // how long the runs of a job take; 0: they do not end
+	due        []timedEvent
+	logged     []logLine
+	phases     map[job.ID]job.Phase // as stored
+	starts     []schedule.Start     // that an upstream has received
+	tickets    bool                 // starts need the ticket of the upstream's life
 	// storeDelay is how long the store takes for the records that it gets from now on; storing: it has not confirmed the last ones.
 	storeDelay time.Duration
 	storing    bool
@@ -201,8 +203,11 @@
 		return
 	}
 	f.starts = append(f.starts, call)
-	l := f.lives[id]
-	f.core.HandleStartResult(call, l.clock(f.now), f.execute(id, l, call))
+	f.after(f.startDelay, func() {
+		l := f.lives[id]
+		f.core.HandleStartResult(call, l.clock(f.now), f.execute(id, l, call))
+	})
+	f.doDue()
 }
 
 // execute starts a run unless the call's deadline has passed or its ticket is of another life.
--- a/schedule/lives_test.go
+++ b/schedule/lives_test.go
@@ -194,6 +194,25 @@
 	is.Equal(f.lives["u-1"].seq, uint64(30))
 }
 
+// Guards against ends that are not acknowledged while starts are always in flight for longer than usual (Acks): a busy upstream behind a
+// slow link. The list of ends grows until an answer does not hold them all.
+func TestEndsAreAcknowledgedWhileStartsTakeLong(t *testing.T) {
+	for _, delay := range []time.Duration{150 * time.Millisecond, 300 * time.Millisecond, 450 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newLifeFleet(t, "u-1")
+			f.startDelay = delay
+			f.addLasting(1)
+			f.live(time.Second)
+			for number := 2; number < 102; number++ { // one start every 50 ms
+				f.addShort(number, 1, 50*time.Millisecond)
+				f.live(50 * time.Millisecond)
+				is.True(len(f.lives["u-1"].ended) <= 10) // those of half a second
+			}
+		})
+	}
+}
+
 // checkFollowed checks that the upstream's only life is used: the tasks of two jobs are done there.
 func (f *lifeFleet) checkFollowed(is *is.I) {
 	is.Helper()
