--- a/schedule/life.go
+++ b/schedule/life.go
@@ -102,14 +102,14 @@
 }
 
 // noteEntryLife follows what an upstream's entry says of its life, which is none that has ended. A later start than that of the known
-// life proves that this has ended. An earlier one may be that of a newer life whose time of day is behind, or of an older entry: a poll
-// decides.
+// life proves that this has ended, unless the time of day has jumped back there before. An earlier one may be that of a newer life whose
+// time of day is behind, or of an older entry: a poll decides.
 func (c *Core) noteEntryLife(up *upstream, startedMS int64) {
 	switch {
 	case startedMS == 0 || startedMS == up.StartedMS:
 	case up.StartedMS == 0:
 		up.StartedMS = startedMS
-	case startedMS > up.StartedMS:
+	case startedMS > up.StartedMS && !up.timeJumped:
 		c.handleRestart(up, startedMS, "entry")
 	default:
 		up.doubtfulMS = startedMS
@@ -179,6 +179,7 @@
 	}
 	c.loseRuns(up, lost, "it has started anew")
 	earlier := up.life
+	up.timeJumped = up.timeJumped || startedMS < up.StartedMS
 	up.noteEnded(up.StartedMS)
 	up.noteNotEnded(startedMS)
 	up.StartedMS, up.life = startedMS, &life{reconnect: true}
--- a/schedule/lives_test.go
+++ b/schedule/lives_test.go
@@ -342,6 +342,27 @@
 	}
 }
 
+// Guards against TWICE: after the time of day has jumped back, the entry of a life that the owner has never seen arrives late, with a
+// higher born than the life that answers.
+func TestLateEntryOfAnUnseenLifeEndsNoRuns(t *testing.T) {
+	is := is.New(t)
+	f := newLifeFleet(t, "u-1")
+	f.live(time.Second)
+	f.restartUnnoticed("u-1", earlierBorn, -firstClock)
+	id := f.addLasting(1)
+	f.live(1500 * time.Millisecond)
+	is.Equal(f.runsOn("u-1", id), 1)
+	f.add("u-2")
+	f.live(200 * time.Millisecond)
+	f.deliverEntry("u-1", earlierBorn+1000) // between the two
+	f.live(2 * time.Second)
+	is.Equal(f.runsOn("u-1", id), 1)
+	is.Equal(f.core.Stats().Requeued, 0)
+	f.cut["u-2"] = true
+	f.core.UnlistUpstream("u-2")
+	f.checkFollowed(is)
+}
+
 // Guards against TWICE: after a start that the new life has answered with a lower clock, deadlines are still sent on the earlier one.
 func TestDeadlinesAreOnTheClockOfTheLifeThatHasAnswered(t *testing.T) {
 	forEachClock(t, func(t *testing.T, f *lifeFleet, ahead int64, accepted bool) {
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -12,6 +12,7 @@
 	platform.Upstream         // StartedMS is of the known life
 	*life                     // the known life
 	endedLives        []int64 // start times of the lives before, at most maxEndedLives
+	timeJumped        bool    // a life had an earlier start time than the one before
 	rack              string
 	listed            bool // it has an entry in the store
 	terminated        bool // it definitely runs nothing any more; kept until its runs are detached
