schedule: the entry of a life from before an upkeep does not complete it (LIMIT)

Callers saw an upkeep begin while as many machines of its wave as allowed were down. An upstream had started anew shortly before its machine was commanded, while it was idle, so that no poll showed it; the entry of that life came after the command was accepted, and half of an upkeep later counted as that of the machine that is back. Under the ID of before only a life that has answered a poll since the command was accepted says so now. It is also no longer polled without runs for ever after that.

TestLateEntryOfALifeFromBeforeTheUpkeepDoesNotCompleteIt failed before: the second upkeep 1.1 s after the first, of 2 s.

--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -265,16 +265,29 @@
 			c.issueUpkeep(w, m)
 		}
 	case machineDown:
-		up := c.upstreamOf(m.name)
-		if up != nil && up.ID == m.previousUpstream && up.StartedMS == m.previousStartedMS && up.answeredSeq > m.pollSeqAtAccept {
-			up.cordoned, up.pollWhenIdle = false, false
-			c.completeUpkeep(w, m, "done before")
-			return
-		}
-		if up != nil && (up.ID != m.previousUpstream || up.StartedMS != m.previousStartedMS) && c.now > m.since+c.Bounds.UpkeepDuration/2 {
-			up.cordoned = false
-			c.completeUpkeep(w, m, "entry")
-		}
+		c.advanceDown(w, m)
+	}
+}
+
+// advanceDown completes the upkeep of a machine whose command was accepted once an upstream shows that the machine is back. Another life
+// of the upstream that was there may have begun before the command, unnoticed, unless it has answered a poll sent later.
+func (c *Core) advanceDown(w *wave, m *waveMachine) {
+	up := c.upstreamOf(m.name)
+	if up == nil {
+		return
+	}
+	isPrevious := up.ID == m.previousUpstream && up.addedAt <= m.since
+	if isPrevious && up.answeredSeq <= m.pollSeqAtAccept {
+		return
+	}
+	if isPrevious && up.StartedMS == m.previousStartedMS {
+		up.cordoned, up.pollWhenIdle = false, false
+		c.completeUpkeep(w, m, "done before")
+		return
+	}
+	if c.now > m.since+c.Bounds.UpkeepDuration/2 {
+		up.cordoned, up.pollWhenIdle = false, false
+		c.completeUpkeep(w, m, "entry")
 	}
 }
 
