schedule: each entry of another life has a poll of its own decide (DRAIN)

Callers could see tasks start on an upstream whose entry had said that it drains: while one entry of an earlier start time had an upstream in doubt, the entry of another life came, and the poll in flight, from before it, was answered by the known life. The new life was then taken for one that has ended, and its entries were ignored. The poll in flight is given up now and another one sent.

TestSecondEntryInADoubtIsSettledByALaterPoll failed before: no later poll was sent.

--- a/schedule/life.go
+++ b/schedule/life.go
@@ -111,9 +111,10 @@
 		up.StartedMS = startedMS
 	case startedMS > up.StartedMS && !up.timeJumped:
 		c.handleRestart(up, startedMS, "entry")
-	default:
+	case startedMS != up.doubtfulMS:
 		up.doubtfulMS = startedMS
 		c.doubtLife(up, "entry", "born", startedMS)
+		c.abandonPoll(up) // in a doubt from before; one sent earlier may show a life that has ended since
 	}
 }
 
