--- a/schedule/drains.go
+++ b/schedule/drains.go
@@ -293,16 +293,16 @@
 		"drained_for_ms", (c.now - m.since).Milliseconds())
 }
 
-// stopOnDrainingUpstreams stops long-running tasks on upstreams that are about to leave, as far as their steps' limits
+// stopOnDrainingUpstreams stops long-running tasks on upstreams that are about to leave, or are in another pool now, as far as their steps' limits
 // on unavailable tasks allow, so that they are started elsewhere.
 func (c *Core) stopOnDrainingUpstreams() {
 	for _, up := range c.upstreams.all() {
-		if !up.Draining || up.failedPolls > 0 {
+		if !up.Draining && !up.hasLeftPool() || up.failedPolls > 0 {
 			continue
 		}
 		for _, r := range up.runs.all() {
 			if r.state == runRunning && r.part.step.LongRunning && c.mayInterrupt(r) {
-				c.stopRun(r, "its upstream is draining")
+				c.stopRun(r, "its upstream is draining, or in another pool")
 			}
 		}
 	}
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -15,7 +15,11 @@
 		return // a stale entry of an upstream that has terminated
 	}
 	if up != nil && (up.Address != entry.Address || up.Pool != entry.Pool) {
-		if !c.isNewIncarnation(up, entry) || up.Address == entry.Address && up.mayRunOnNextLife() {
+		isNew := c.isNewIncarnation(up, entry)
+		if !isNew || up.Address == entry.Address && up.mayRunOnNextLife() {
+			if isNew {
+				up.leftPoolMS = entry.StartedMS
+			}
 			c.Log("entry contradicts its upstream", "upstream", entry.ID, "pool", entry.Pool, "address", entry.Address,
 				"born", entry.StartedMS, "known_pool", up.Pool, "known_address", up.Address, "known_born", up.StartedMS)
 			c.UnlistUpstream(entry.ID)
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -20,6 +20,8 @@
 	// contradiction is the last entry under its ID that cannot be its own; nil: its own is newer. It is applied when this
 	// upstream is removed.
 	contradiction *platform.Upstream
+	// leftPoolMS is the start time of a life that began in another pool while this pool's tasks may run there; 0: there is none.
+	leftPoolMS int64
 	// storedStartMS is its StartedMS in the stored roster.
 	storedStartMS int64
 	inherited     bool // from an earlier owner's roster and not reached yet
@@ -74,6 +76,11 @@
 // isOverCapacity reports whether the runs on the upstream take more than its capacity, which may have shrunk.
 func (u *upstream) isOverCapacity() bool { return !job.Resources{}.Fits(u.freeCapacity()) }
 
+// hasLeftPool reports whether the known life, which has answered, is in another pool.
+func (u *upstream) hasLeftPool() bool {
+	return u.fenced && u.leftPoolMS != 0 && u.leftPoolMS == u.StartedMS
+}
+
 // isSettled reports whether, as far as this owner knows, the upstream has been there and answered for the time of one lease. One
 // that has started anew or was silent often does so again soon.
 func (c *Core) isSettled(up *upstream) bool {
