schedule: a task of the known life does not wait for leases that only the next one may have (LOST)

Callers saw a long-running task without a run for 11.9 s: its upstream started anew, its new life answered a start, with a clock that raised a doubt, and was cut off before a poll was answered or its entry came. The doubt extended the lease of all runs there to what the new life may have been granted.

A doubt has a lease end of its own now, which counts for runs that the next life may have: not for those that the known one has listed. It becomes that of the upstream at the restart and is dropped if a poll shows the known life.

TestTaskListedByTheKnownLifeDoesNotWaitForTheLeaseOfTheNext failed before, with all clocks but the same one.

--- a/schedule/life.go
+++ b/schedule/life.go
@@ -19,6 +19,8 @@
 	// is started, acknowledged or extended there meanwhile.
 	inDoubt    bool
 	doubtfulMS int64 // start time in an entry that raised the doubt; 0: none did
+	// nextLeaseEnd is the time by which the leases have expired that a next life may have been granted before the doubt; 0: there is none.
+	nextLeaseEnd time.Duration
 
 	clock       clockReading
 	maxDeadline int64 // latest lease deadline in any command that may have reached it, on its clock
@@ -128,7 +130,7 @@
 	c.Log("upstream may have started anew", append([]any{"upstream", up.ID, "shown_by", shownBy, "known_born", up.StartedMS,
 		"known_clock_ms", up.clock.ms, "clock_age_ms", c.msSince(up.clock.readAt), "heard_ms_ago", c.msSince(up.lastResponseAt),
 		"poll_in_flight", up.polling}, fields...)...)
-	c.allowForStaleDeadline(up)
+	up.nextLeaseEnd = max(up.nextLeaseEnd, c.staleLeaseEnd(up))
 	c.noteLongLease(up)
 	c.abandonPoll(up)
 }
@@ -165,7 +167,7 @@
 func (c *Core) handleRestart(up *upstream, startedMS int64, shownBy string) {
 	c.logRestart(up, startedMS, shownBy)
 	c.prepareCharges(up, true)
-	c.allowForStaleDeadline(up)
+	up.minLeaseEnd = max(up.minLeaseEnd, up.nextLeaseEnd, c.staleLeaseEnd(up))
 	c.abandonPoll(up)
 	var lost, unproved []*run
 	for _, r := range up.runs.all() {
@@ -223,9 +225,10 @@
 	}
 }
 
-// allowForStaleDeadline allows for the lease that the next life of an upstream may have: it may have carried out a poll or a start
-// with a deadline on the clock of the life before. Stops and changes of pace carry no deadline.
-func (c *Core) allowForStaleDeadline(up *upstream) {
+// staleLeaseEnd returns the time by which the leases have expired that the next life of the upstream may have been granted: it may have
+// carried out a poll or a start with a deadline on the clock of the life before. Stops and changes of pace carry no deadline.
+func (c *Core) staleLeaseEnd(up *upstream) time.Duration {
+	var end time.Duration
 	deadline := up.strayDeadline
 	if up.polling {
 		deadline = max(deadline, up.pollDeadline)
@@ -235,16 +238,17 @@
 			deadline = max(deadline, r.startDeadline)
 		}
 		if r.startAnswered && r.heldBy != up.life {
-			up.minLeaseEnd = max(up.minLeaseEnd, c.answeredLeaseEnd(r))
+			end = max(end, c.answeredLeaseEnd(r))
 		}
 	}
 	if deadline > 0 {
-		up.minLeaseEnd = max(up.minLeaseEnd, c.now+c.longestStaleLease(deadline)+leaseSlack)
+		end = max(end, c.now+c.longestStaleLease(deadline)+leaseSlack)
 	}
 	if up.inherited && up.earlierLeaseEnd > 0 {
 		// The earlier owner did not know of this life, and may have started tasks there.
-		up.minLeaseEnd = max(up.minLeaseEnd, c.EarlierEnded+c.longestStaleLease(c.Bounds.MaxLease.Milliseconds())+leaseSlack)
+		end = max(end, c.EarlierEnded+c.longestStaleLease(c.Bounds.MaxLease.Milliseconds())+leaseSlack)
 	}
+	return end
 }
 
 // answeredLeaseEnd returns the time by which the lease has ended that an answered start may have granted, whichever life answered.
--- a/schedule/lives_test.go
+++ b/schedule/lives_test.go
@@ -404,6 +404,29 @@
 	})
 }
 
+// Guards against LOST: a long-running task that the known life has listed waits for the longest lease that the next one may have, when the
+// upstream is cut off while it is in doubt.
+func TestTaskListedByTheKnownLifeDoesNotWaitForTheLeaseOfTheNext(t *testing.T) {
+	for _, c := range lifeClocks {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newLifeFleet(t, "u-1")
+			held := f.addLasting(1)
+			f.live(2200 * time.Millisecond)
+			f.noPoll["u-1"] = true
+			f.restartUnnoticed("u-1", laterBorn, c.ahead)
+			id := f.addLasting(2)
+			f.live(30 * time.Millisecond)
+			f.cut["u-1"] = true
+			f.add("u-2")
+			f.live(testLease + 600*time.Millisecond)
+			is.Equal(f.runsOn("u-2", held), 1)
+			f.live(testBounds.MaxLease)
+			is.Equal(f.runsOn("u-2", id), 1)
+		})
+	}
+}
+
 // cutOffAfterStart cuts an upstream off after its new life has answered a start, calls then, and checks that the task starts elsewhere.
 func (f *lifeFleet) cutOffAfterStart(ahead int64, accepted bool, then func()) {
 	is := is.New(f.t)
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -160,7 +160,7 @@
 			up.noteEnded(up.doubtfulMS)
 		}
 	}
-	up.inDoubt, up.doubtfulMS = false, 0
+	up.inDoubt, up.doubtfulMS, up.nextLeaseEnd = false, 0, 0
 }
 
 // noteIncarnation compares the incarnation of an upstream that has answered with the one in the stored roster, which it
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -346,7 +346,7 @@
 	case err == nil:
 		r.startAnswered, r.answeredAt, r.answerClockMS = true, c.now, clockMS
 		c.stages(r).response.add(c.now - start.at)
-		c.noteAnswered(r, isMeant)
+		c.noteAnswered(r, start.meant, isMeant)
 		if r.state == runStarting || r.state == runUnknown {
 			r.state = runRunning
 		}
@@ -364,13 +364,17 @@
 }
 
 // noteAnswered records that a life of the run's upstream has begun the run: if isMeant the known one, as far as its clock tells.
-func (c *Core) noteAnswered(r *run, isMeant bool) {
+func (c *Core) noteAnswered(r *run, call meant, isMeant bool) {
 	if isMeant {
 		c.noteBegun(r)
 		return
 	}
 	c.noteJobBegun(r.part.job)
-	r.up.minLeaseEnd = max(r.up.minLeaseEnd, c.answeredLeaseEnd(r))
+	if call.life == r.up.life {
+		r.up.nextLeaseEnd = max(r.up.nextLeaseEnd, c.answeredLeaseEnd(r))
+	} else {
+		r.up.minLeaseEnd = max(r.up.minLeaseEnd, c.answeredLeaseEnd(r))
+	}
 	c.noteLongLease(r.up)
 }
 
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -97,8 +97,11 @@
 	return max(u.clock.readAt+time.Duration(left*float64(time.Millisecond))+leaseSlack, u.minLeaseEnd)
 }
 
-// lastLeaseEnd returns the time by which the leases of this owner and of earlier ones have expired.
-func (u *upstream) lastLeaseEnd() time.Duration {
+// lastLeaseEnd returns the time by which the leases of this owner and of earlier ones have expired, whichever life has them.
+func (u *upstream) lastLeaseEnd() time.Duration { return max(u.knownLeaseEnd(), u.nextLeaseEnd) }
+
+// knownLeaseEnd is lastLeaseEnd without the leases that only a next life may have.
+func (u *upstream) knownLeaseEnd() time.Duration {
 	return max(u.earlierLeaseEnd, u.minLeaseEnd, u.leaseEnd())
 }
 
@@ -169,9 +172,8 @@
 		if up.failedPolls > 0 {
 			c.endStoppedRuns(up)
 		}
-		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.lastLeaseEnd() {
-			c.noteLoss(up, !up.listed)
-			c.loseAllRuns(up, "its lease has expired")
+		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.knownLeaseEnd() {
+			c.loseExpiredRuns(up)
 		}
 		if !up.listed && up.reconciled && up.stored && up.runs.len() == 0 && (up.terminated || up.failedPolls > 0 || up.isIdle()) {
 			c.removeUpstream(up)
@@ -179,6 +181,21 @@
 	}
 }
 
+// loseExpiredRuns loses the runs of a silent upstream whose lease has expired: those that only a next life may have later than others.
+func (c *Core) loseExpiredRuns(up *upstream) {
+	areAll := c.now > up.lastLeaseEnd()
+	var expired []*run
+	for _, r := range up.runs.all() {
+		if areAll || !r.mayBeOfNextLife() {
+			expired = append(expired, r)
+		}
+	}
+	if len(expired) > 0 {
+		c.prepareCharges(up, !up.listed)
+		c.loseRuns(up, expired, "its lease has expired")
+	}
+}
+
 // endStoppedRuns ends the long-running runs on an upstream that does not answer whose stop it has answered before: nothing of
 // them runs after the longest time that a stop takes, and a start that arrives later is rejected. Other tasks may have been
 // done before the stop.
