--- a/schedule/life.go
+++ b/schedule/life.go
@@ -19,6 +19,8 @@
 	// is started, acknowledged or extended there meanwhile.
 	inDoubt    bool
 	doubtfulMS int64 // start time in an entry that raised the doubt; 0: none did
+	// nextLeaseEnd is the time by which the leases have expired that a next life may have been granted before the doubt; 0: there is none.
+	nextLeaseEnd time.Duration
 
 	clock       clockReading
 	maxDeadline int64 // latest lease deadline in any command that may have reached it, on its clock
@@ -96,19 +98,25 @@
 	u.endedLives = u.endedLives[max(0, len(u.endedLives)-maxEndedLives):]
 }
 
+// noteNotEnded forgets that a life has ended: it has answered a poll, so a late entry was taken for that of a later one.
+func (u *upstream) noteNotEnded(startedMS int64) {
+	u.endedLives = slices.DeleteFunc(u.endedLives, func(ended int64) bool { return ended == startedMS })
+}
+
 // noteEntryLife follows what an upstream's entry says of its life, which is none that has ended. A later start than that of the known
-// life proves that this has ended. An earlier one may be that of a newer life whose time of day is behind, or of an older entry: a poll
-// decides.
+// life proves that this has ended, unless the time of day has jumped back there before. An earlier one may be that of a newer life whose
+// time of day is behind, or of an older entry: a poll decides.
 func (c *Core) noteEntryLife(up *upstream, startedMS int64) {
 	switch {
 	case startedMS == 0 || startedMS == up.StartedMS:
 	case up.StartedMS == 0:
 		up.StartedMS = startedMS
-	case startedMS > up.StartedMS:
+	case startedMS > up.StartedMS && !up.timeJumped:
 		c.handleRestart(up, startedMS, "entry")
-	default:
+	case startedMS != up.doubtfulMS:
 		up.doubtfulMS = startedMS
 		c.doubtLife(up, "entry", "born", startedMS)
+		c.abandonPoll(up) // in a doubt from before; one sent earlier may show a life that has ended since
 	}
 }
 
@@ -122,7 +130,7 @@
 	c.Log("upstream may have started anew", append([]any{"upstream", up.ID, "shown_by", shownBy, "known_born", up.StartedMS,
 		"known_clock_ms", up.clock.ms, "clock_age_ms", c.msSince(up.clock.readAt), "heard_ms_ago", c.msSince(up.lastResponseAt),
 		"poll_in_flight", up.polling}, fields...)...)
-	c.allowForStaleDeadline(up)
+	up.nextLeaseEnd = max(up.nextLeaseEnd, c.staleLeaseEnd(up))
 	c.noteLongLease(up)
 	c.abandonPoll(up)
 }
@@ -159,7 +167,7 @@
 func (c *Core) handleRestart(up *upstream, startedMS int64, shownBy string) {
 	c.logRestart(up, startedMS, shownBy)
 	c.prepareCharges(up, true)
-	c.allowForStaleDeadline(up)
+	up.minLeaseEnd = max(up.minLeaseEnd, up.nextLeaseEnd, c.staleLeaseEnd(up))
 	c.abandonPoll(up)
 	var lost, unproved []*run
 	for _, r := range up.runs.all() {
@@ -174,7 +182,9 @@
 	}
 	c.loseRuns(up, lost, "it has started anew")
 	earlier := up.life
+	up.timeJumped = up.timeJumped || startedMS < up.StartedMS
 	up.noteEnded(up.StartedMS)
+	up.noteNotEnded(startedMS)
 	up.StartedMS, up.life = startedMS, &life{reconnect: true}
 	for _, r := range unproved {
 		c.keepOverRestart(r)
@@ -223,9 +233,10 @@
 	c.stopRun(r, "its upstream has started anew")
 }
 
-// allowForStaleDeadline allows for the lease that the next life of an upstream may have: it may have carried out a poll or a start
-// with a deadline on the clock of the life before. Stops and changes of pace carry no deadline.
-func (c *Core) allowForStaleDeadline(up *upstream) {
+// staleLeaseEnd returns the time by which the leases have expired that the next life of the upstream may have been granted: it may have
+// carried out a poll or a start with a deadline on the clock of the life before. Stops and changes of pace carry no deadline.
+func (c *Core) staleLeaseEnd(up *upstream) time.Duration {
+	var end time.Duration
 	deadline := up.strayDeadline
 	if up.polling {
 		deadline = max(deadline, up.pollDeadline)
@@ -235,16 +246,17 @@
 			deadline = max(deadline, r.startDeadline)
 		}
 		if r.startAnswered && r.heldBy != up.life {
-			up.minLeaseEnd = max(up.minLeaseEnd, c.answeredLeaseEnd(r))
+			end = max(end, c.answeredLeaseEnd(r))
 		}
 	}
 	if deadline > 0 {
-		up.minLeaseEnd = max(up.minLeaseEnd, c.now+c.longestStaleLease(deadline)+leaseSlack)
+		end = max(end, c.now+c.longestStaleLease(deadline)+leaseSlack)
 	}
 	if up.inherited && up.earlierLeaseEnd > 0 {
 		// The earlier owner did not know of this life, and may have started tasks there.
-		up.minLeaseEnd = max(up.minLeaseEnd, c.EarlierEnded+c.longestStaleLease(c.Bounds.MaxLease.Milliseconds())+leaseSlack)
+		end = max(end, c.EarlierEnded+c.longestStaleLease(c.Bounds.MaxLease.Milliseconds())+leaseSlack)
 	}
+	return end
 }
 
 // answeredLeaseEnd returns the time by which the lease has ended that an answered start may have granted, whichever life answered.
@@ -297,9 +309,9 @@
 }
 
 // mayHaveBegunUnseen reports whether a copy of the run's start may have been carried out since the last response to a poll, by a life
-// that is not known yet.
+// that is not known yet. A start that is in flight for long says so only if that response is as old: under load many are.
 func (r *run) mayHaveBegunUnseen(now time.Duration) bool {
-	isAwaited := r.startInFlight && now > r.started+promptResponse
+	isAwaited := r.startInFlight && now > max(r.started, r.up.lastResponseAt)+promptResponse
 	return isAwaited || r.lostStarts > 0 && r.up.answeredSeq <= r.pollSeqAtReturn
 }
 
