schedule: failures of jobs that have failed before no longer prolong the quarantine of an upstream

Cause: evidence about a job counted against the upstream. After the first quarantine each failure began the next one, twice as long, also one of a job that had failed there, or of a task that had failed anywhere, before. Now these begin the shortest quarantine again (1.5 s). The quarantine grows only with a first failure of a task whose job has not failed there since the last success, or has tasks that were done.

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -33,38 +33,71 @@
 	// quarantinedAt is when the last of the quarantines began, and trial the run that was started last since then; nil: none.
 	quarantinedAt time.Duration
 	trial         *run
+	failedHere    map[job.ID]int // failed runs of each job since the last success
 }
 
 func (h *health) recordSuccess() {
 	*h = health{excludedUntil: h.excludedUntil, suspendedUntil: h.suspendedUntil}
 }
 
-// recordFailure records that a run of the job, started at the given time (0: not known), has failed. Runs from before the last
-// quarantine say nothing new.
-func (h *health) recordFailure(c *Core, up *upstream, id job.ID, started time.Duration) {
-	if h.quarantines > 0 && started <= h.quarantinedAt {
+// recordFailure records that a run of one of the part's tasks, started at the given time (0: not known), has failed. Runs from
+// before the last quarantine say nothing new, nor does a long-running task that has failed often.
+func (h *health) recordFailure(c *Core, up *upstream, p *part, t *task, started time.Duration) {
+	isNew := h.isNewEvidence(p, t)
+	h.noteFailed(p.job.ID)
+	if h.quarantines > 0 && started <= h.quarantinedAt || p.step.LongRunning && t.failures >= failuresOfTask {
 		return
 	}
 	h.consecutiveFailures++
-	if id != h.lastJob {
+	if p.job.ID != h.lastJob {
 		h.jobChanges++
-		h.lastJob = id
+		h.lastJob = p.job.ID
 	}
-	if h.consecutiveFailures >= failuresToQuarantine && h.jobChanges >= 2 || h.quarantines > 0 {
+	switch {
+	case h.quarantines > 0 && !isNew:
+		h.repeatQuarantine(c, up)
+	case h.quarantines > 0, h.consecutiveFailures >= failuresToQuarantine && h.jobChanges >= 2:
 		h.quarantine(c, up, "consecutive failures")
 	}
 }
 
+func (h *health) noteFailed(id job.ID) {
+	if h.failedHere == nil {
+		h.failedHere = map[job.ID]int{}
+	}
+	h.failedHere[id]++
+}
+
+// isNewEvidence reports whether a failure of the task says more about the upstream than those before. It does not if the task has
+// failed before, here or elsewhere, or if its job has failed here and no other task of its part was ever done: the job may be at fault.
+func (h *health) isNewEvidence(p *part, t *task) bool {
+	return t.failures == 0 && t.overdueStops == 0 && (h.failedHere[p.job.ID] == 0 || p.done > 0)
+}
+
+// quarantine begins a quarantine, twice as long as the one before.
 func (h *health) quarantine(c *Core, up *upstream, reason string) {
 	delay := min(baseQuarantine<<min(h.quarantines, 4), maxQuarantine)
 	h.quarantines++
 	if c.mostQuarantined(up) {
 		delay = baseQuarantine
 	}
-	h.excludedUntil = c.now + delay
+	h.exclude(c, up, reason, c.now+delay)
+}
+
+// repeatQuarantine begins the shortest quarantine again: tasks are tried no faster, but no task waits longer for the upstream.
+func (h *health) repeatQuarantine(c *Core, up *upstream) {
+	until := c.now + baseQuarantine
+	if !c.mostQuarantined(up) {
+		until = max(until, h.excludedUntil)
+	}
+	h.exclude(c, up, "failures of jobs that have failed before", until)
+}
+
+func (h *health) exclude(c *Core, up *upstream, reason string, until time.Duration) {
+	h.excludedUntil = until
 	h.consecutiveFailures, h.jobChanges = 0, 0
 	h.quarantinedAt, h.trial = c.now, nil
-	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", delay.Milliseconds(), "spells", h.quarantines)
+	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", (until - c.now).Milliseconds(), "spells", h.quarantines)
 }
 
 // mostQuarantined reports whether more than half of the upstreams that could run the same tasks have been in quarantine
@@ -156,9 +189,9 @@
 				continue
 			}
 			r.overdue = true
+			up.health.recordFailure(c, up, r.part, r.task(), r.started)
 			r.task().overdueStops++
 			r.task().lastFailedOn = up.ID
-			up.health.recordFailure(c, up, r.part.job.ID, r.started)
 			c.stopRun(r, "overdue")
 		}
 	}
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -185,9 +185,7 @@
 	if r != nil {
 		started = r.started
 	}
-	if !p.step.LongRunning || t.failures < failuresOfTask {
-		up.health.recordFailure(c, up, p.job.ID, started)
-	}
+	up.health.recordFailure(c, up, p, t, started)
 	t.lastFailedOn = up.ID
 	if p.step.LongRunning {
 		t.failures++
