schedule: a job in doubt takes at most every second trial of an upstream while others wait

Callers saw a good job that never started: a hopeless long-running job, which is restarted without end and precedes others since it has waited, took each trial of the only upstream with room, one task after another.

Cause: the trials of an upstream went to whoever came first, though another run of a job that has failed there shows nothing new. Now an upstream counts the failures of each job since its last success. On other upstreams, and for every second trial, a long-running task keeps its precedence.

--- a/schedule/absent.go
+++ b/schedule/absent.go
@@ -113,7 +113,7 @@
 		return "unknown runs"
 	case up.cordoned || up.released:
 		return "held for its machine"
-	case up.health.isExcluded(c.now) || !up.health.allowsStart(c.now):
+	case up.health.isExcluded(c.now) || !c.mayBeTried(p, up):
 		return "after failures"
 	case !c.isOpen(p, t, up):
 		return "held for another task"
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -126,6 +126,7 @@
 	superseded      bool                        // an upstream has seen a higher fencing token
 
 	wantedLabels []string // labels required by waiting tasks of the pool being placed
+	lastTurn     bool     // jobs in doubt need not leave trials to others any more in this round
 
 	stepEnds     []time.Duration // buffer of criticalPath
 	lastBatch    uint64          // number of the last batch of records that TakeRecords returned
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -33,6 +33,7 @@
 	// quarantinedAt is when the last of the quarantines began, and trial the run that was started last since then; nil: none.
 	quarantinedAt time.Duration
 	trial         *run
+	trialDoubted  bool           // the last trial was of a job in doubt
 	failedHere    map[job.ID]int // failed runs of each job since the last success
 }
 
@@ -143,10 +144,25 @@
 // noteStart records a run that is started after a quarantine.
 func (h *health) noteStart(r *run) {
 	if h.quarantines > 0 {
-		h.trial = r
+		h.trial, h.trialDoubted = r, h.doubts(r.part)
 	}
 }
 
+// doubts reports whether the part's job may rather be at fault than the upstream, by its failures there. A long-running task that has
+// waited precedes others, and loses that in the trials of the upstream only after several failures.
+func (h *health) doubts(p *part) bool {
+	if p.step.LongRunning {
+		return h.failedHere[p.job.ID] >= failuresOfTask
+	}
+	return h.failedHere[p.job.ID] > 0
+}
+
+// givesWay reports whether the part leaves the next trial to a job that is not in doubt, if one waits: the last trial was of a job in
+// doubt, and another one would show nothing new.
+func (h *health) givesWay(p *part) bool {
+	return h.quarantines > 0 && h.trialDoubted && h.doubts(p)
+}
+
 // noteAtWork records a success of the run's upstream once the run, of a long-running task, has been started for
 // trialTime and is at work: no end will show that the upstream works again.
 func (r *run) noteAtWork() {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -44,6 +44,9 @@
 			pl.placeWhile(c, isNext)
 		}
 	}
+	for _, pl := range waiting {
+		pl.placeInDoubt(c)
+	}
 	for _, pl := range waiting {
 		c.reportBacklog(pl.pool, len(pl.usable))
 		c.reportStages(pl.pool, pl.usable)
@@ -63,12 +66,20 @@
 	usable   []*upstream
 	room     []*upstream // usable upstreams on which the smallest request fits
 	starving []*part     // parts that were placed as starving
+	shared   []*upstream // usable upstreams of which jobs in doubt leave the next trial to others
+	inDoubt  []*part     // placed parts that leave one of these to others
 	next     int         // index of the next candidate in the pool's list
 }
 
 func (c *Core) newPlacement(p *pool) *placement {
 	usable := c.usable(p)
-	return &placement{pool: p, usable: usable, room: p.waiting.withRoom(usable)}
+	pl := &placement{pool: p, usable: usable, room: p.waiting.withRoom(usable)}
+	for _, up := range usable {
+		if up.health.quarantines > 0 && up.health.trialDoubted {
+			pl.shared = append(pl.shared, up)
+		}
+	}
+	return pl
 }
 
 // placeWhile places the candidates in their order up to the first one whose turn it is not.
@@ -99,6 +110,24 @@
 			pl.starving = append(pl.starving, part)
 		}
 	}
+	if slices.ContainsFunc(pl.shared, func(up *upstream) bool { return up.health.givesWay(part) }) {
+		pl.inDoubt = append(pl.inDoubt, part)
+	}
+}
+
+// placeInDoubt places the parts that left trials to others, once none of these has taken them.
+func (pl *placement) placeInDoubt(c *Core) {
+	c.lastTurn = true
+	for _, part := range pl.inDoubt {
+		switch {
+		case !pl.pool.has(part) || part.step.Gang:
+		case part.step.BestEffort:
+			c.placeTasks(part, pl.usable, pl.shared)
+		default:
+			c.placeTasks(part, pl.usable, pl.room)
+		}
+	}
+	c.lastTurn = false
 }
 
 func (p *part) hasWaiting(now time.Duration) bool {
@@ -388,7 +417,7 @@
 		if waitForRack && up.rack != p.step.Rack && hasRack(usable, p.step.Rack) {
 			continue
 		}
-		if !up.health.allowsStart(c.now) && !c.mayStartBesideTrial(p, t, up) {
+		if !c.mayStartAfterFailures(p, t, up) {
 			continue
 		}
 		score := c.score(p, t, up)
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -19,6 +19,15 @@
 		return
 	}
 	trial := c.trialUpstreams(pl.pool, baseQuarantine)
+	pl.placeStarving(c, closed, trial)
+	c.lastTurn = true
+	pl.placeStarving(c, closed, trial)
+	c.lastTurn = false
+}
+
+// placeStarving places the starving candidates on upstreams in quarantine: on all closed ones after ignoreQuarantineAfter, before on
+// trial ones.
+func (pl *placement) placeStarving(c *Core, closed, trial []*upstream) {
 	for _, candidate := range pl.pool.waiting.list {
 		if !candidate.starving {
 			return
@@ -45,6 +54,19 @@
 	return found
 }
 
+// mayStartAfterFailures reports whether the failures on the upstream let it take the task.
+func (c *Core) mayStartAfterFailures(p *part, t *task, up *upstream) bool {
+	if up.health.allowsStart(c.now) {
+		return c.mayBeTried(p, up)
+	}
+	return c.mayStartBesideTrial(p, t, up)
+}
+
+// mayBeTried reports whether the upstream takes the next trial, or any task, and the part need not leave it to others.
+func (c *Core) mayBeTried(p *part, up *upstream) bool {
+	return up.health.allowsStart(c.now) && (c.lastTurn || !up.health.givesWay(p))
+}
+
 // mayStartBesideTrial reports whether a long-running task need not wait for a trial: it starves, and the failures are rather the
 // fault of tasks than of the upstream.
 func (c *Core) mayStartBesideTrial(p *part, t *task, up *upstream) bool {
@@ -71,7 +93,7 @@
 	for range waiting {
 		best := -1
 		for i, up := range room {
-			if c.mayHold(p, up) && (best < 0 || p.lack(up) < p.lack(room[best])) {
+			if !up.health.givesWay(p) && c.mayHold(p, up) && (best < 0 || p.lack(up) < p.lack(room[best])) {
 				best = i
 			}
 		}
@@ -91,7 +113,7 @@
 
 // mayTry is mayHold for a task that may start beside the trial of another one.
 func (c *Core) mayTry(p *part, t *task, up *upstream) bool {
-	return c.couldRun(p, up) && (up.health.allowsStart(c.now) || c.mayStartBesideTrial(p, t, up))
+	return c.couldRun(p, up) && c.mayStartAfterFailures(p, t, up)
 }
 
 // couldRun is mayHold, whatever the upstream's failures.
--- a/schedule/trials_test.go
+++ b/schedule/trials_test.go
@@ -26,6 +26,7 @@
 	starts       map[job.ID]int
 	startsOnGrey int
 	done         int
+	arrivals     int // jobs added by liveWithArrivals
 }
 
 type dueEnd struct {
@@ -127,6 +128,35 @@
 	is.True(f.startWait(f.addUniformJob(20, 1, 1000), time.Minute) <= mostTrials)
 }
 
+// Guards against a hopeless long-running job that takes each trial of the only upstream with room, since it has waited longer than
+// others: a good job was never tried (LOST, review/9).
+func TestHopelessLastingJobLeavesTrialsToOthers(t *testing.T) {
+	is := is.New(t)
+	f := newEndingFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.addJob(1, lasting(2, 16000))
+	f.live(time.Second)
+	for number := 3; number < 5; number++ {
+		f.addHopeless(number, 200*time.Millisecond, brief(2, 1000))
+	}
+	f.addHopeless(2, 1500*time.Millisecond, lasting(6, 1000))
+	f.live(30 * time.Second)
+	is.True(f.startWait(f.addUniformJob(20, 1, 1000), time.Minute) <= mostTrials)
+}
+
+// Guards against a good long-running job that loses its precedence beside failing ones on the only upstream with room.
+func TestGoodLastingJobIsTriedBesideHopelessOnes(t *testing.T) {
+	is := is.New(t)
+	f := newEndingFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.addJob(1, lasting(2, 16000))
+	f.live(time.Second)
+	for number := 3; number < 7; number++ {
+		f.addHopeless(number, 200*time.Millisecond, brief(4, 1000))
+	}
+	f.addHopeless(2, 1500*time.Millisecond, lasting(6, 1000))
+	f.live(12 * time.Second)
+	is.True(f.startWait(f.addJob(20, lasting(1, 1000)), time.Minute) <= mostTrials)
+}
+
 // Guards against tasks that are fed to upstreams that fail all they start, while others are sound.
 func TestUpstreamsThatFailAllAreAvoided(t *testing.T) {
 	const mostStarts = 30 // on each of them in a minute
@@ -163,3 +193,39 @@
 		})
 	}
 }
+
+// Guards against a long-running job that loses its precedence because its only upstream with room failed all for a while.
+func TestLastingJobStartsOnceItsUpstreamHasRecovered(t *testing.T) {
+	for _, outage := range []time.Duration{2 * time.Second, 5 * time.Second, 20 * time.Second, 40 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newEndingFleet(t, entries("u-1", "u-2")...)
+			f.addJob(1, lasting(1, 16000))
+			f.live(time.Second)
+			f.work = 3 * time.Second
+			f.grey["u-2"] = true
+			id := f.addJob(2, lasting(1, 1000))
+			f.liveWithArrivals(outage)
+			f.grey["u-2"] = false
+			f.addJob(3, lasting(1, 1000))
+			for number := 10; number < 30; number++ {
+				f.addUniformJob(number, 20, 1000)
+			}
+			recovered := f.now
+			for f.runsOf(id) == 0 && f.now < recovered+time.Minute {
+				f.liveWithArrivals(50 * time.Millisecond)
+			}
+			t.Log("starts after the recovery:", f.now-recovered)
+			is.True(f.now-recovered <= mostTrials)
+		})
+	}
+}
+
+// liveWithArrivals drives the core for a time in which a short job arrives each 50 ms.
+func (f *endingFleet) liveWithArrivals(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.arrivals++
+		f.addUniformJob(1000+f.arrivals, 1, 1000)
+		f.live(50 * time.Millisecond)
+	}
+}
