schedule: a task that starts beside the trial of an upstream no longer takes the place of the trial

Callers saw a good job that never started on the only upstream of a pool while a dozen hopeless long-running jobs were tried there.

Now the trial stays the run that was started as such.

Measured: the new TestTaskBesideTrialDoesNotReplaceIt failed before (no start in 60 s), now 100 ms.

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -141,9 +141,10 @@
 	return h.quarantines == 0 || h.trial == nil || h.trial.detached || now-h.trial.started >= trialTime
 }
 
-// noteStart records a run that is started after a quarantine.
+// noteStart records a run that is started after a quarantine. One that starts beside a trial is none: each would begin the wait for the
+// next trial anew.
 func (h *health) noteStart(r *run) {
-	if h.quarantines > 0 {
+	if h.quarantines > 0 && h.allowsStart(r.started) {
 		h.trial, h.trialDoubted = r, h.doubts(r.part)
 	}
 }
--- a/schedule/trials_test.go
+++ b/schedule/trials_test.go
@@ -143,6 +143,21 @@
 	is.True(f.startWait(f.addUniformJob(20, 1, 1000), time.Minute) <= mostTrials)
 }
 
+// Guards against hopeless long-running tasks that start beside the trial of the only upstream, each as the next trial (LOST).
+func TestTaskBesideTrialDoesNotReplaceIt(t *testing.T) {
+	is := is.New(t)
+	f := newEndingFleet(t, entries("u-1")...)
+	for number := 3; number < 5; number++ {
+		f.addHopeless(number, 200*time.Millisecond, brief(2, 1000))
+	}
+	for number := 30; number < 42; number++ {
+		f.addHopeless(number, 1500*time.Millisecond, lasting(1, 500))
+		f.live(900 * time.Millisecond)
+	}
+	f.live(30 * time.Second)
+	is.True(f.startWait(f.addUniformJob(20, 1, 1000), time.Minute) <= mostTrials)
+}
+
 // Guards against a good long-running job that loses its precedence beside failing ones on the only upstream with room.
 func TestGoodLastingJobIsTriedBesideHopelessOnes(t *testing.T) {
 	is := is.New(t)
