schedule: upstreams that long-running tasks fill do not prolong the quarantine of the only one with room

Callers saw a good job that did not start within 60 s, after ten jobs that can never be done had come one after another: two of three upstreams are full of long-running tasks, and the third was in quarantine for 12 s for each of them.

Cause: a quarantine stays short while most upstreams that could run the same tasks are on trial, and full ones counted among these. Nothing can go there, and they show nothing about the tasks. Now an upstream counts only if the task would fit beside its long-running ones.

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -56,9 +56,9 @@
 	}
 	switch {
 	case h.quarantines > 0 && !isNew:
-		h.repeatQuarantine(c, up)
+		h.repeatQuarantine(c, p, up)
 	case h.quarantines > 0, h.consecutiveFailures >= failuresToQuarantine && h.jobChanges >= 2:
-		h.quarantine(c, up, "consecutive failures")
+		h.quarantine(c, p, up, "consecutive failures")
 	}
 }
 
@@ -76,19 +76,19 @@
 }
 
 // quarantine begins a quarantine, twice as long as the one before.
-func (h *health) quarantine(c *Core, up *upstream, reason string) {
+func (h *health) quarantine(c *Core, p *part, up *upstream, reason string) {
 	delay := min(baseQuarantine<<min(h.quarantines, 4), maxQuarantine)
 	h.quarantines++
-	if c.mostQuarantined(up) {
+	if c.mostQuarantined(p, up) {
 		delay = baseQuarantine
 	}
 	h.exclude(c, up, reason, c.now+delay)
 }
 
 // repeatQuarantine begins the shortest quarantine again: tasks are tried no faster, but no task waits longer for the upstream.
-func (h *health) repeatQuarantine(c *Core, up *upstream) {
+func (h *health) repeatQuarantine(c *Core, p *part, up *upstream) {
 	until := c.now + baseQuarantine
-	if !c.mostQuarantined(up) {
+	if !c.mostQuarantined(p, up) {
 		until = max(until, h.excludedUntil)
 	}
 	h.exclude(c, up, "failures of jobs that have failed before", until)
@@ -101,17 +101,19 @@
 	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", (until - c.now).Milliseconds(), "spells", h.quarantines)
 }
 
-// mostQuarantined reports whether more than half of the upstreams that could run the same tasks have been in quarantine
+// mostQuarantined reports whether more than half of the upstreams that could run tasks like the part's have been in quarantine
 // since their last success: those of the pool, or those with one of the upstream's labels but its rack. The failures are
 // then rather the fault of the tasks, and others must not wait long for an upstream.
-func (c *Core) mostQuarantined(up *upstream) bool {
-	return c.mostQuarantinedWith(up, "") || slices.ContainsFunc(up.Labels, func(label string) bool {
-		return label != up.rack && c.mostQuarantinedWith(up, label)
+func (c *Core) mostQuarantined(p *part, up *upstream) bool {
+	return c.mostQuarantinedWith(p, up, "") || slices.ContainsFunc(up.Labels, func(label string) bool {
+		return label != up.rack && c.mostQuarantinedWith(p, up, label)
 	})
 }
 
-// mostQuarantinedWith considers the upstreams of up's pool that have the label; all for "".
-func (c *Core) mostQuarantinedWith(up *upstream, label string) bool {
+// mostQuarantinedWith considers the upstreams of up's pool that have the label; all for "". Those that long-running tasks fill are
+// left out: they show nothing, and no task can go there.
+func (c *Core) mostQuarantinedWith(p *part, up *upstream, label string) bool {
+	reserved := p.step.ReservedResources()
 	quarantined, all := 0, 0
 	for _, other := range c.pool(up.Pool).byID {
 		if other != up && (!other.listed || !other.fenced || other.terminated || other.failedPolls > 0) {
@@ -120,6 +122,9 @@
 		if label != "" && !slices.Contains(other.Labels, label) {
 			continue
 		}
+		if other != up && !reserved.Fits(other.Capacity.Sub(other.usedLongRunning)) {
+			continue
+		}
 		all++
 		if other.health.quarantines > 0 {
 			quarantined++
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -70,7 +70,7 @@
 // mayStartBesideTrial reports whether a long-running task need not wait for a trial: it starves, and the failures are rather the
 // fault of tasks than of the upstream.
 func (c *Core) mayStartBesideTrial(p *part, t *task, up *upstream) bool {
-	return p.step.LongRunning && p.isStarving(t, c.now) && c.mostQuarantined(up)
+	return p.step.LongRunning && p.isStarving(t, c.now) && c.mostQuarantined(p, up)
 }
 
 // reserve keeps upstreams for the starving parts, once all of them have taken the room that there is: none of them waits for
--- a/schedule/trials_test.go
+++ b/schedule/trials_test.go
@@ -158,6 +158,20 @@
 	is.True(f.startWait(f.addUniformJob(20, 1, 1000), time.Minute) <= mostTrials)
 }
 
+// Guards against a long quarantine of the only upstream with room, while upstreams that long-running tasks fill count as sound ones
+// that could run the same tasks.
+func TestFullUpstreamsDoNotProlongTheQuarantineOfTheOnlyOneWithRoom(t *testing.T) {
+	is := is.New(t)
+	f := newEndingFleet(t, entries("u-1", "u-2", "u-3")...)
+	f.addJob(1, lasting(2, 16000))
+	f.live(time.Second)
+	for number := 2; number < 12; number++ {
+		f.addHopeless(number, 200*time.Millisecond, brief(1, 1000))
+		f.live(3 * time.Second)
+	}
+	is.True(f.startWait(f.addUniformJob(20, 1, 1000), time.Minute) <= mostTrials)
+}
+
 // Guards against a good long-running job that loses its precedence beside failing ones on the only upstream with room.
 func TestGoodLastingJobIsTriedBesideHopelessOnes(t *testing.T) {
 	is := is.New(t)
