schedule: failures of tasks whose part is at work elsewhere prolong a quarantine, though none is done yet

Now a job's failures count as before if another of the part's tasks was done, or has been at work for 2 s on another upstream: then the job can be done.

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -44,7 +44,7 @@
 // recordFailure records that a run of one of the part's tasks, started at the given time (0: not known), has failed. Runs from
 // before the last quarantine say nothing new, nor does a long-running task that has failed often.
 func (h *health) recordFailure(c *Core, up *upstream, p *part, t *task, started time.Duration) {
-	isNew := h.isNewEvidence(p, t)
+	isNew := h.isNewEvidence(c, up, p, t)
 	h.noteFailed(p.job.ID)
 	if h.quarantines > 0 && started <= h.quarantinedAt || p.step.LongRunning && t.failures >= failuresOfTask {
 		return
@@ -69,10 +69,22 @@
 	h.failedHere[id]++
 }
 
-// isNewEvidence reports whether a failure of the task says more about the upstream than those before. It does not if the task has
-// failed before, here or elsewhere, or if its job has failed here and no other task of its part was ever done: the job may be at fault.
-func (h *health) isNewEvidence(p *part, t *task) bool {
-	return t.failures == 0 && t.overdueStops == 0 && (h.failedHere[p.job.ID] == 0 || p.done > 0)
+// isNewEvidence reports whether a failure of the task says more about the upstream than those before. If nothing shows that the part's
+// tasks can be done, it does not after the job has failed here, or the task anywhere: they may be at fault.
+func (h *health) isNewEvidence(c *Core, up *upstream, p *part, t *task) bool {
+	if p.done > 0 || c.worksElsewhere(p, up) {
+		return true
+	}
+	return t.failures == 0 && t.overdueStops == 0 && h.failedHere[p.job.ID] == 0
+}
+
+// worksElsewhere reports whether a task of the part has been at work for trialTime on another upstream.
+func (c *Core) worksElsewhere(p *part, up *upstream) bool {
+	return slices.ContainsFunc(p.tasks, func(t task) bool {
+		return slices.ContainsFunc(t.runs, func(r *run) bool {
+			return r.up != up && r.state == runRunning && c.now-r.started >= trialTime
+		})
+	})
 }
 
 // quarantine begins a quarantine, twice as long as the one before.
--- a/schedule/trials_test.go
+++ b/schedule/trials_test.go
@@ -258,3 +258,19 @@
 		f.live(50 * time.Millisecond)
 	}
 }
+
+// Guards against a quarantine that does not grow because no task was ever done: their tasks take long, but work elsewhere.
+func TestUpstreamThatFailsLongTasksIsAvoided(t *testing.T) {
+	is := is.New(t)
+	f := newEndingFleet(t, entries("u-1", "u-2", "u-3", "u-4")...)
+	f.work = 20 * time.Second
+	f.grey["u-1"] = true
+	for number := 10; number < 14; number++ {
+		f.addJob(number, job.Step{Count: 100, Request: job.Resources{MilliCPU: 1000}, Estimate: f.work})
+	}
+	f.live(3 * time.Second)
+	before := f.startsOnGrey
+	f.live(15 * time.Second)
+	t.Log("starts on the upstream that fails all:", f.startsOnGrey-before)
+	is.True(f.startsOnGrey-before <= 4)
+}
