--- a/schedule/health.go
+++ b/schedule/health.go
@@ -33,51 +33,99 @@
 	// quarantinedAt is when the last of the quarantines began, and trial the run that was started last since then; nil: none.
 	quarantinedAt time.Duration
 	trial         *run
+	trialDoubted  bool           // the last trial was of a job in doubt
+	failedHere    map[job.ID]int // failed runs of each job since the last success
 }
 
 func (h *health) recordSuccess() {
 	*h = health{excludedUntil: h.excludedUntil, suspendedUntil: h.suspendedUntil}
 }
 
-// recordFailure records that a run of the job, started at the given time (0: not known), has failed. Runs from before the last
-// quarantine say nothing new.
-func (h *health) recordFailure(c *Core, up *upstream, id job.ID, started time.Duration) {
-	if h.quarantines > 0 && started <= h.quarantinedAt {
+// recordFailure records that a run of one of the part's tasks, started at the given time (0: not known), has failed. Runs from
+// before the last quarantine say nothing new, nor does a long-running task that has failed often.
+func (h *health) recordFailure(c *Core, up *upstream, p *part, t *task, started time.Duration) {
+	isNew := h.isNewEvidence(c, up, p, t)
+	h.noteFailed(p.job.ID)
+	if h.quarantines > 0 && started <= h.quarantinedAt || p.step.LongRunning && t.failures >= failuresOfTask {
 		return
 	}
 	h.consecutiveFailures++
-	if id != h.lastJob {
+	if p.job.ID != h.lastJob {
 		h.jobChanges++
-		h.lastJob = id
+		h.lastJob = p.job.ID
 	}
-	if h.consecutiveFailures >= failuresToQuarantine && h.jobChanges >= 2 || h.quarantines > 0 {
-		h.quarantine(c, up, "consecutive failures")
+	switch {
+	case h.quarantines > 0 && !isNew:
+		h.repeatQuarantine(c, p, up)
+	case h.quarantines > 0, h.consecutiveFailures >= failuresToQuarantine && h.jobChanges >= 2:
+		h.quarantine(c, p, up, "consecutive failures")
 	}
 }
 
-func (h *health) quarantine(c *Core, up *upstream, reason string) {
+func (h *health) noteFailed(id job.ID) {
+	if h.failedHere == nil {
+		h.failedHere = map[job.ID]int{}
+	}
+	h.failedHere[id]++
+}
+
+// isNewEvidence reports whether a failure of the task says more about the upstream than those before. If nothing shows that the part's
+// tasks can be done, it does not after the job has failed here, or the task anywhere: they may be at fault.
+func (h *health) isNewEvidence(c *Core, up *upstream, p *part, t *task) bool {
+	if p.done > 0 || c.worksElsewhere(p, up) {
+		return true
+	}
+	return t.failures == 0 && t.overdueStops == 0 && h.failedHere[p.job.ID] == 0
+}
+
+// worksElsewhere reports whether a task of the part has been at work for trialTime on another upstream.
+func (c *Core) worksElsewhere(p *part, up *upstream) bool {
+	return slices.ContainsFunc(p.tasks, func(t task) bool {
+		return slices.ContainsFunc(t.runs, func(r *run) bool {
+			return r.up != up && r.state == runRunning && c.now-r.started >= trialTime
+		})
+	})
+}
+
+// quarantine begins a quarantine, twice as long as the one before.
+func (h *health) quarantine(c *Core, p *part, up *upstream, reason string) {
 	delay := min(baseQuarantine<<min(h.quarantines, 4), maxQuarantine)
 	h.quarantines++
-	if c.mostQuarantined(up) {
+	if c.mostQuarantined(p, up) {
 		delay = baseQuarantine
 	}
-	h.excludedUntil = c.now + delay
+	h.exclude(c, up, reason, c.now+delay)
+}
+
+// repeatQuarantine begins the shortest quarantine again: tasks are tried no faster, but no task waits longer for the upstream.
+func (h *health) repeatQuarantine(c *Core, p *part, up *upstream) {
+	until := c.now + baseQuarantine
+	if !c.mostQuarantined(p, up) {
+		until = max(until, h.excludedUntil)
+	}
+	h.exclude(c, up, "failures of jobs that have failed before", until)
+}
+
+func (h *health) exclude(c *Core, up *upstream, reason string, until time.Duration) {
+	h.excludedUntil = until
 	h.consecutiveFailures, h.jobChanges = 0, 0
 	h.quarantinedAt, h.trial = c.now, nil
-	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", delay.Milliseconds(), "spells", h.quarantines)
+	c.Log("upstream in quarantine", "upstream", up.ID, "reason", reason, "for_ms", (until - c.now).Milliseconds(), "spells", h.quarantines)
 }
 
-// mostQuarantined reports whether more than half of the upstreams that could run the same tasks have been in quarantine
+// mostQuarantined reports whether more than half of the upstreams that could run tasks like the part's have been in quarantine
 // since their last success: those of the pool, or those with one of the upstream's labels but its rack. The failures are
 // then rather the fault of the tasks, and others must not wait long for an upstream.
-func (c *Core) mostQuarantined(up *upstream) bool {
-	return c.mostQuarantinedWith(up, "") || slices.ContainsFunc(up.Labels, func(label string) bool {
-		return label != up.rack && c.mostQuarantinedWith(up, label)
+func (c *Core) mostQuarantined(p *part, up *upstream) bool {
+	return c.mostQuarantinedWith(p, up, "") || slices.ContainsFunc(up.Labels, func(label string) bool {
+		return label != up.rack && c.mostQuarantinedWith(p, up, label)
 	})
 }
 
-// mostQuarantinedWith considers the upstreams of up's pool that have the label; all for "".
-func (c *Core) mostQuarantinedWith(up *upstream, label string) bool {
+// mostQuarantinedWith considers the upstreams of up's pool that have the label; all for "". Those that long-running tasks fill are
+// left out: they show nothing, and no task can go there.
+func (c *Core) mostQuarantinedWith(p *part, up *upstream, label string) bool {
+	reserved := p.step.ReservedResources()
 	quarantined, all := 0, 0
 	for _, other := range c.pool(up.Pool).byID {
 		if other != up && (!other.listed || !other.fenced || other.terminated || other.failedPolls > 0) {
@@ -86,6 +134,9 @@
 		if label != "" && !slices.Contains(other.Labels, label) {
 			continue
 		}
+		if other != up && !reserved.Fits(other.Capacity.Sub(other.usedLongRunning)) {
+			continue
+		}
 		all++
 		if other.health.quarantines > 0 {
 			quarantined++
@@ -107,13 +158,29 @@
 	return h.quarantines == 0 || h.trial == nil || h.trial.detached || now-h.trial.started >= trialTime
 }
 
-// noteStart records a run that is started after a quarantine.
+// noteStart records a run that is started after a quarantine. One that starts beside a trial is none: each would begin the wait for the
+// next trial anew.
 func (h *health) noteStart(r *run) {
-	if h.quarantines > 0 {
-		h.trial = r
+	if h.quarantines > 0 && h.allowsStart(r.started) {
+		h.trial, h.trialDoubted = r, h.doubts(r.part)
 	}
 }
 
+// doubts reports whether the part's job may rather be at fault than the upstream, by its failures there. A long-running task that has
+// waited precedes others, and loses that in the trials of the upstream only after several failures.
+func (h *health) doubts(p *part) bool {
+	if p.step.LongRunning {
+		return h.failedHere[p.job.ID] >= failuresOfTask
+	}
+	return h.failedHere[p.job.ID] > 0
+}
+
+// givesWay reports whether the part leaves the next trial to a job that is not in doubt, if one waits: the last trial was of a job in
+// doubt, and another one would show nothing new.
+func (h *health) givesWay(p *part) bool {
+	return h.quarantines > 0 && h.trialDoubted && h.doubts(p)
+}
+
 // noteAtWork records a success of the run's upstream once the run, of a long-running task, has been started for
 // trialTime and is at work: no end will show that the upstream works again.
 func (r *run) noteAtWork() {
@@ -156,9 +223,9 @@
 				continue
 			}
 			r.overdue = true
+			up.health.recordFailure(c, up, r.part, r.task(), r.started)
 			r.task().overdueStops++
 			r.task().lastFailedOn = up.ID
-			up.health.recordFailure(c, up, r.part.job.ID, r.started)
 			c.stopRun(r, "overdue")
 		}
 	}
