--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -32,6 +32,7 @@
 	TeamKey            string        // API key of the only team
 	StoreListenAddress string        // address for the store to listen on; empty for a free port on loopback
 	ProxyUpstreams     bool          // registers a Proxy, which can inject faults, in place of each upstream's address
+	Seed               uint64        // of the clocks of the upstreams' lives
 }
 
 // Names in the configuration of every Fleet.
@@ -72,7 +73,7 @@
 func (f *Fleet) StoreAddress() string { return f.storeAddress }
 
 func (f *Fleet) addUpstream(id, zone string, options Options) error {
-	u := NewUpstream(id, PoolName, zone, "", options.TaskDuration)
+	u := NewUpstream(id, PoolName, zone, "", options.TaskDuration, options.Seed)
 	address, err := f.serve("", u)
 	if err != nil {
 		return err
@@ -91,6 +92,20 @@
 	return nil
 }
 
+// Heartbeat is the interval at which upstreams register themselves.
+const Heartbeat = 1500 * time.Millisecond
+
+// RegisterAfter registers the upstream's present life after a delay, unless that life has ended by then. Until then the store
+// has the entry of an earlier life, or none.
+func (f *Fleet) RegisterAfter(u *Upstream, delay time.Duration) {
+	life := u.Life()
+	time.AfterFunc(delay, func() {
+		if u.Life() == life {
+			f.Store.Put("servers/"+u.CurrentID(), u.StoreEntry())
+		}
+	})
+}
+
 // serve serves handler on an address, or on a free loopback port if it is empty, and returns the address.
 func (f *Fleet) serve(address string, handler http.Handler) (string, error) {
 	if address == "" {
@@ -164,7 +179,7 @@
 ip = "127.0.0.1"
 zone = %q
 internal_ports = [%d, %d]
-heartbeat_ms = 1500
+heartbeat_ms = %d
 [listen]
 frontend = %q
 readiness = %q
@@ -191,7 +206,7 @@
 [platform]
 address = %q
 ttl_min_ms = 1000
-`, name, zone, internalPort, internalPort, clientAddress, readinessAddress, f.storeAddress)
+`, name, zone, internalPort, internalPort, Heartbeat.Milliseconds(), clientAddress, readinessAddress, f.storeAddress)
 }
 
 // Violations checks the runs that the upstreams recorded and returns a message for each violation, whose prefix names
--- a/testbed/fleet/proxy.go
+++ b/testbed/fleet/proxy.go
@@ -19,11 +19,18 @@
 	listener net.Listener
 	target   string
 
-	mu          sync.Mutex
-	fault       ProxyFault
-	changed     chan struct{} // closed and replaced when the fault changes
-	connections map[net.Conn]struct{}
-	closed      bool
+	mu      sync.Mutex
+	fault   ProxyFault
+	changed chan struct{} // closed and replaced when the fault changes
+	links   map[*link]struct{}
+	closed  bool
+}
+
+// link is a client's connection and its continuation to the target.
+type link struct {
+	client, server net.Conn
+	silent         bool // since Proxy.Silence
+	resetOnUse     bool
 }
 
 const (
@@ -37,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), connections: map[net.Conn]struct{}{}}
+	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), links: map[*link]struct{}{}}
 	go p.accept()
 	return p, nil
 }
@@ -68,12 +75,32 @@
 	p.resetAll()
 }
 
+// Silence makes the open connections silent for good, as connections to an upstream whose machine has lost power: no bytes
+// pass, and the client does not see its connection close. With resetOnUse a connection is reset when the client sends on it
+// and no fault holds the bytes back, as by a machine that does not know the connection. New connections are served.
+func (p *Proxy) Silence(resetOnUse bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		if !l.silent {
+			l.silent, l.resetOnUse = true, resetOnUse
+		}
+	}
+}
+
 // resetAll resets the open connections. The caller must hold the lock.
 func (p *Proxy) resetAll() {
-	for connection := range p.connections {
-		reset(connection)
+	for l := range p.links {
+		l.reset()
+	}
+	clear(p.links)
+}
+
+func (l *link) reset() {
+	reset(l.client)
+	if l.server != nil {
+		reset(l.server)
 	}
-	clear(p.connections)
 }
 
 func reset(connection net.Conn) {
@@ -94,57 +121,120 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
-	if !p.track(client) {
+	l := &link{client: client}
+	if !p.track(l) {
 		reset(client)
 		return
 	}
 	server, err := net.DialTimeout("tcp", p.target, dialTimeout)
-	if err != nil || !p.track(server) {
-		reset(client)
-		if err == nil {
-			reset(server)
-		}
+	if err != nil {
+		p.resetLink(l)
+		return
+	}
+	if !p.connect(l, server) {
+		reset(server)
 		return
 	}
-	go p.copyDirection(client, server, func(f ProxyFault) bool { return f.StallToTarget })
-	go p.copyDirection(server, client, func(f ProxyFault) bool { return f.StallFromTarget })
+	go p.copyToTarget(l)
+	go p.copyFromTarget(l)
 }
 
-// track records a connection so that later faults can reset it. It returns false if the caller must reset it now.
-func (p *Proxy) track(connection net.Conn) bool {
+// track records a connection so that later faults affect it. It returns false if the caller must reset it now.
+func (p *Proxy) track(l *link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.fault.Reset {
 		return false
 	}
-	p.connections[connection] = struct{}{}
+	p.links[l] = struct{}{}
 	return true
 }
 
-// copyDirection copies bytes in one direction until either side closes or fails, and closes both connections.
-func (p *Proxy) copyDirection(from, to net.Conn, isStalled func(ProxyFault) bool) {
-	defer func() {
-		_ = from.Close() // the goroutine of the other direction may have closed it
-		_ = to.Close()
-		p.mu.Lock()
-		delete(p.connections, from)
-		p.mu.Unlock()
-	}()
+// connect records the connection to the target. It returns false if the client's connection has been reset.
+func (p *Proxy) connect(l *link, server net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, open := p.links[l]
+	if open {
+		l.server = server
+	}
+	return open
+}
+
+func (p *Proxy) resetLink(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.reset()
+	delete(p.links, l)
+}
+
+func (p *Proxy) closeLink(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = l.client.Close() // either may be closed
+	_ = l.server.Close()
+	delete(p.links, l)
+}
+
+// copyToTarget copies bytes of the client until either side closes or fails, and closes both. On a silent link it drops them.
+func (p *Proxy) copyToTarget(l *link) {
+	defer p.closeLink(l)
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := l.client.Read(buffer)
+		if !p.waitUntilAllowed(func(f ProxyFault) bool { return f.StallToTarget }) {
+			return
+		}
+		silent, resetOnUse := p.isSilent(l)
+		switch {
+		case silent && resetOnUse && n > 0:
+			p.resetLink(l)
+			return
+		case !silent && n > 0:
+			if _, writeErr := l.server.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// copyFromTarget copies bytes of the target until either side closes or fails, and closes both. On a silent link it drops them,
+// and the client's connection stays open.
+func (p *Proxy) copyFromTarget(l *link) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
-		n, err := from.Read(buffer)
-		if n > 0 && p.waitUntilAllowed(isStalled) {
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+		n, err := l.server.Read(buffer)
+		if !p.waitUntilAllowed(func(f ProxyFault) bool { return f.StallFromTarget }) {
+			return // Close has reset the link
+		}
+		silent, _ := p.isSilent(l)
+		if silent && err != nil {
+			return
+		}
+		if !silent && n > 0 {
+			if _, writeErr := l.client.Write(buffer[:n]); writeErr != nil {
+				p.closeLink(l)
 				return
 			}
 		}
 		if err != nil {
+			p.closeLink(l)
 			return
 		}
 	}
 }
 
-// waitUntilAllowed blocks until the fault lets bytes pass and returns true, or false if the proxy was closed.
+func (p *Proxy) isSilent(l *link) (silent, resetOnUse bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return l.silent, l.resetOnUse
+}
+
+// waitUntilAllowed blocks until the fault lets bytes, and the ends of connections, pass and returns true, or false if the proxy
+// was closed.
 func (p *Proxy) waitUntilAllowed(isStalled func(ProxyFault) bool) bool {
 	for {
 		p.mu.Lock()
--- a/testbed/fleet/upstream.go
+++ b/testbed/fleet/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strings"
@@ -37,7 +39,12 @@
 	TaskDuration time.Duration
 
 	mu              sync.Mutex
+	random          *rand.Rand
+	life            int  // number of lives that have begun
+	down            bool // it has crashed and not started again
 	startedAt       time.Time
+	bornMS          int64 // time of day at its start, as it reports it
+	firstClockMS    int64 // of the clock of clockMS in this life
 	fencingToken    uint64
 	leaseDeadlineMS int64 // on the clock of clockMS; all runs end when it has passed
 	running         map[string]*Run
@@ -74,15 +81,25 @@
 	capacityMemoryMB = 64000
 	maxListedEnds    = 500 // in one response to a poll
 	maxLeaseMS       = 10000
+	maxFirstClockMS  = 60000 // of a new life's clock
 	tickInterval     = 5 * time.Millisecond
 )
 
-// NewUpstream returns an upstream. The caller must call Tick regularly.
-func NewUpstream(id, pool, zone, address string, duration time.Duration) *Upstream {
-	return &Upstream{
-		ID: id, Pool: pool, Zone: zone, Address: address, TaskDuration: duration, startedAt: time.Now(),
+// NewUpstream returns an upstream. The caller must call Tick regularly. The seed, with the ID, determines the clocks of its
+// lives.
+func NewUpstream(id, pool, zone, address string, duration time.Duration, seed uint64) *Upstream {
+	u := &Upstream{
+		ID: id, Pool: pool, Zone: zone, Address: address, TaskDuration: duration, random: rand.New(rand.NewPCG(seed, hash(id))),
 		running: map[string]*Run{}, highestEnded: map[string]uint64{}, changed: make(chan struct{}),
 	}
+	u.begin(time.Now())
+	return u
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text)) // never fails
+	return h.Sum64()
 }
 
 // StoreEntry returns the entry with which the upstream registers itself in the store.
@@ -91,7 +108,7 @@
 	defer u.mu.Unlock()
 	data, err := json.Marshal(map[string]any{
 		"service": u.Pool, "address": u.Address, "zone": u.Zone, "version": "v1", "slots": 8, "phase": "ready",
-		"cold_remaining_ms": 0, "sequence": 1, "born": u.startedAt.UnixMilli(), "machine": "m-" + u.ID,
+		"cold_remaining_ms": 0, "sequence": 1, "born": u.bornMS, "machine": "m-" + u.ID,
 		"capacity": map[string]int{"cpu": capacityMilliCPU, "mem_mb": capacityMemoryMB, "gpu": 0},
 		"labels":   []string{"a", "r-" + u.Zone},
 	})
@@ -108,18 +125,80 @@
 	u.faults = faults
 }
 
-// Restart crashes the upstream and starts a new incarnation under the given ID, which knows nothing of before.
+// Restart crashes the upstream and starts a new life under the given ID, which knows nothing of before.
 func (u *Upstream) Restart(id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.crash()
+	u.ID = id
+	u.begin(time.Now())
+}
+
+// Crash ends the upstream's life. It answers nothing until Start.
+func (u *Upstream) Crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crash()
+}
+
+// Start begins a new life under the same ID, which knows nothing of before. It reports that it was born at the given time of
+// day, which may be wrong.
+func (u *Upstream) Start(born time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.begin(born)
+}
+
+// Born returns the time of day at which the present life was born, as the upstream reports it.
+func (u *Upstream) Born() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.UnixMilli(u.bornMS)
+}
+
+// Life returns the number of the present life; 0 if the upstream has crashed and not started again.
+func (u *Upstream) Life() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.down {
+		return 0
+	}
+	return u.life
+}
+
+// crash ends all runs, and the calls in flight. The caller must hold the lock.
+func (u *Upstream) crash() {
 	for task := range u.running {
 		u.endRun(task, "crashed")
 	}
-	u.ID, u.startedAt = id, time.Now()
+	u.down = true
+	u.notify()
+}
+
+// begin begins a life, which knows nothing of before. The caller must hold the lock.
+func (u *Upstream) begin(born time.Time) {
+	u.life++
+	u.down = false
+	u.startedAt, u.bornMS, u.firstClockMS = time.Now(), born.UnixMilli(), 1+u.random.Int64N(maxFirstClockMS)
 	u.fencingToken, u.leaseDeadlineMS, u.lastSeq, u.ends = 0, 0, 0, nil
 	clear(u.highestEnded)
 }
 
+// lockLife locks the upstream for a call that the given life has received. A call of a life that has ended is dropped.
+func (u *Upstream) lockLife(life int) {
+	u.mu.Lock()
+	if u.down || u.life != life {
+		u.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// notify wakes the polls that wait for a change. The caller must hold the lock.
+func (u *Upstream) notify() {
+	close(u.changed)
+	u.changed = make(chan struct{})
+}
+
 // CurrentID returns the ID of the upstream's present incarnation.
 func (u *Upstream) CurrentID() string {
 	u.mu.Lock()
@@ -143,8 +222,8 @@
 	return runs
 }
 
-// clockMS returns the upstream's own clock, to which lease deadlines refer. It starts at 1.
-func (u *Upstream) clockMS() int64 { return time.Since(u.startedAt).Milliseconds() + 1 }
+// clockMS returns the upstream's own clock, to which lease deadlines refer. It begins anywhere in each life.
+func (u *Upstream) clockMS() int64 { return u.firstClockMS + time.Since(u.startedAt).Milliseconds() }
 
 // Tick ends the runs whose task duration has passed, or all runs if the lease has expired.
 func (u *Upstream) Tick() {
@@ -176,8 +255,7 @@
 	u.lastSeq++
 	u.highestEnded[task] = max(u.highestEnded[task], r.Attempt)
 	u.ends = append(u.ends, runEnd{seq: u.lastSeq, task: task, attempt: r.Attempt, kind: kind, run: r})
-	close(u.changed)
-	u.changed = make(chan struct{})
+	u.notify()
 }
 
 type requestBody struct {
@@ -193,8 +271,11 @@
 // ServeHTTP implements the protocol of the platform's upstreams.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
-	unresponsive, onCall, id := u.faults.Unresponsive, u.faults.OnCall, u.ID
+	unresponsive, onCall, id, life, down := u.faults.Unresponsive, u.faults.OnCall, u.ID, u.life, u.down
 	u.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	if onCall != nil {
 		onCall()
 	}
@@ -213,13 +294,13 @@
 	}
 	switch strings.TrimPrefix(r.URL.Path, "/-/") {
 	case "run-start":
-		u.startRun(w, body)
+		u.startRun(w, body, life)
 	case "run-stop":
-		u.stopRun(w, body)
+		u.stopRun(w, body, life)
 	case "hold": // polls the runs and renews the lease
-		u.poll(w, r, body)
+		u.poll(w, r, body, life)
 	case "pace": // throttles a run; accepted without effect
-		u.mu.Lock()
+		u.lockLife(life)
 		defer u.mu.Unlock()
 		writeJSON(w, map[string]any{"clock_ms": u.clockMS()})
 	default:
@@ -244,8 +325,8 @@
 	writeJSON(w, map[string]any{"clock_ms": u.clockMS(), "reason": reason})
 }
 
-func (u *Upstream) startRun(w http.ResponseWriter, body requestBody) {
-	u.mu.Lock()
+func (u *Upstream) startRun(w http.ResponseWriter, body requestBody, life int) {
+	u.lockLife(life)
 	defer u.mu.Unlock()
 	if u.rejectStaleToken(w, body.Token) {
 		return
@@ -256,6 +337,7 @@
 	}
 	switch {
 	case u.highestEnded[body.Task] >= body.Attempt:
+		u.extendLease(body.DeadlineMS)
 		u.reject(w, "old")
 		return
 	case body.DeadlineMS <= u.clockMS():
@@ -273,8 +355,8 @@
 	writeJSON(w, map[string]any{"clock_ms": u.clockMS()})
 }
 
-func (u *Upstream) stopRun(w http.ResponseWriter, body requestBody) {
-	u.mu.Lock()
+func (u *Upstream) stopRun(w http.ResponseWriter, body requestBody, life int) {
+	u.lockLife(life)
 	defer u.mu.Unlock()
 	if u.rejectStaleToken(w, body.Token) {
 		return
@@ -288,17 +370,10 @@
 
 // poll acknowledges ends up to the cursor and extends the lease. It responds with the run lists at once if there are
 // unacknowledged ends, otherwise when a run ends or the wait time is over.
-func (u *Upstream) poll(w http.ResponseWriter, r *http.Request, body requestBody) {
+func (u *Upstream) poll(w http.ResponseWriter, r *http.Request, body requestBody, life int) {
 	timeout := time.After(time.Duration(body.WaitMS) * time.Millisecond)
-	u.mu.Lock()
-	incarnation := u.startedAt
-	u.mu.Unlock()
 	for {
-		u.mu.Lock()
-		if !incarnation.Equal(u.startedAt) {
-			u.mu.Unlock()
-			panic(http.ErrAbortHandler) // the upstream has crashed
-		}
+		u.lockLife(life)
 		if u.rejectStaleToken(w, body.Token) {
 			u.mu.Unlock()
 			return
@@ -339,6 +414,6 @@
 		finished = append(finished, []any{e.seq, e.task, e.attempt, e.kind, ""})
 	}
 	writeJSON(w, map[string]any{
-		"clock_ms": u.clockMS(), "born": u.startedAt.UnixMilli(), "running": running, "finished": finished,
+		"clock_ms": u.clockMS(), "born": u.bornMS, "running": running, "finished": finished,
 	})
 }
