--- a/cmd/citrongauge/restarted_upstream_test.go
+++ b/cmd/citrongauge/restarted_upstream_test.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	ciRestartSeeds        = 4
-	restartSubmitInterval = 40 * time.Millisecond
-	afterRestarts         = 1500 * time.Millisecond // in which the faults' effects show
+	ciRestartSeeds = 4
+	afterRestarts  = 1200 * time.Millisecond // in which the faults' effects show
+	ofLate         = 400 * time.Millisecond
+	longerTasks    = 500 * time.Millisecond // added to the tasks' durations with half of the seeds
+	earlyEntryMS   = 400                    // longest delay of half of the entries; the others: a heartbeat
 )
 
 // restartPlan is a crash of an upstream whose connections are silent, and a start under its ID.
@@ -47,10 +49,11 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			s := newRestarts(t, uint64(seed))
+			interval := s.chooseLoad()
 			s.submitLongRunning(firstLongJob, 4, `,"anti_affinity":1`)
-			s.underLoad(restartSubmitInterval, func() {
+			s.underLoad(interval, func() {
 				time.Sleep(time.Second)
-				for range intFromEnvironment("RESTART_SERIES", 2) {
+				for range intFromEnvironment("RESTART_SERIES", 4) {
 					s.restartSeries()
 				}
 			})
@@ -66,9 +69,21 @@
 	return s
 }
 
-// restartSeries restarts one to four upstreams, some of them more than once, and waits until all are registered.
+// chooseLoad chooses the size and the duration of the short jobs' tasks, and returns the interval at which the jobs are submitted.
+func (s *restarts) chooseLoad() time.Duration {
+	interval := []time.Duration{40, 120, 250}[s.rng.IntN(3)] * time.Millisecond
+	s.milliCPU = []int{300, 1000}[s.rng.IntN(2)]
+	extra := longerTasks * time.Duration(s.rng.IntN(2))
+	for _, u := range s.fleet.Upstreams {
+		u.SetFaults(platformfleet.UpstreamFaults{ExtraDuration: extra})
+	}
+	s.t.Logf("a job each %v, %d of a core for each task, which take %v longer", interval, s.milliCPU, extra)
+	return interval
+}
+
+// restartSeries restarts one to three upstreams, or one of them more than once, and waits until all are registered.
 func (s *restarts) restartSeries() {
-	for range 1 + s.rng.IntN(4) {
+	for range 1 + s.rng.IntN(3) {
 		s.begin(s.randomRestart())
 		time.Sleep(s.between(0, 700))
 	}
@@ -77,7 +92,10 @@
 }
 
 func (s *restarts) randomRestart() restartPlan {
-	p := restartPlan{upstream: s.upstreamAtWork(), resetOnUse: s.rng.IntN(2) == 0, entry: s.between(0, int(platformfleet.Heartbeat.Milliseconds()))}
+	p := restartPlan{upstream: s.upstreamAtWork(), resetOnUse: s.rng.IntN(2) == 0, entry: s.between(0, earlyEntryMS)}
+	if s.rng.IntN(2) == 0 {
+		p.entry = s.between(0, int(platformfleet.Heartbeat.Milliseconds()))
+	}
 	if s.rng.IntN(2) == 0 {
 		p.down = s.between(200, 900)
 	} else {
@@ -85,7 +103,7 @@
 		p.down = s.between(0, 50)
 		p.silent = 600*time.Millisecond - p.runsOn - p.down
 	}
-	switch s.rng.IntN(5) {
+	switch s.rng.IntN(6) {
 	case 0:
 		p.killOwner = s.between(1, max(2, int(p.entry.Milliseconds())))
 	case 1:
@@ -94,30 +112,21 @@
 	return p
 }
 
-// upstreamAtWork returns an upstream that runs tasks, the one that runs the most or a random one.
+// upstreamAtWork returns the upstream that has begun the most runs of late, or a random one.
 func (s *restarts) upstreamAtWork() int {
-	random := s.rng.IntN(2 * len(s.fleet.Upstreams)) // the upper half: the one that runs the most
-	if random < len(s.fleet.Upstreams) {
-		return random
+	upstream, most := s.rng.IntN(len(s.fleet.Upstreams)), 0
+	if s.rng.IntN(4) == 0 {
+		return upstream
 	}
-	most, upstream := 0, random-len(s.fleet.Upstreams)
+	now := time.Now()
 	for i, u := range s.fleet.Upstreams {
-		if n := runsNow(u); n > most {
-			most, upstream = n, i
+		if n := runsBetween(u, now.Add(-ofLate), now); n > most {
+			upstream, most = i, n
 		}
 	}
 	return upstream
 }
 
-func runsNow(u *platformfleet.Upstream) (n int) {
-	for _, r := range u.History() {
-		if r.End.IsZero() {
-			n++
-		}
-	}
-	return n
-}
-
 // begin carries out a restart in the background, after those of the same upstream that have begun.
 func (s *restarts) begin(p restartPlan) {
 	s.fault(fmt.Sprintf("restart %+v", p), func() {
@@ -135,6 +144,7 @@
 	u.Crash()
 	time.Sleep(p.down)
 	u.Start(time.Now())
+	started := time.Now()
 	time.Sleep(p.silent)
 	proxy.SetFault(platformfleet.ProxyFault{})
 	s.t.Logf("%s %s answers again, entry in %v", time.Now().Format(timeFormat), u.CurrentID(), p.entry)
@@ -151,6 +161,16 @@
 		proxy.SetFault(platformfleet.ProxyFault{})
 	}
 	time.Sleep(time.Until(registered))
+	s.t.Logf("%s %s is registered, %d runs began before", time.Now().Format(timeFormat), u.CurrentID(), runsBetween(u, started, registered))
+}
+
+func runsBetween(u *platformfleet.Upstream, from, to time.Time) (n int) {
+	for _, r := range u.History() {
+		if r.Begin.After(from) && r.Begin.Before(to) {
+			n++
+		}
+	}
+	return n
 }
 
 // silence cuts an upstream off. Its connections stay silent after the cut.
@@ -169,7 +189,7 @@
 	u.Crash()
 	u.Start(time.Now().Add(2 * time.Second))
 	s.register(0)
-	s.underLoad(restartSubmitInterval, func() {
+	s.underLoad(submitInterval/3, func() {
 		time.Sleep(time.Second)
 		s.fleet.Proxies[0].SetFault(platformfleet.ProxyFault{Reset: true})
 		u.Crash()
--- a/cmd/citrongauge/soak_test.go
+++ b/cmd/citrongauge/soak_test.go
@@ -58,6 +58,7 @@
 	hosts  []*soakHost
 	client *http.Client
 
+	milliCPU   int // of each task of the first step of a job
 	smallHosts int // number of hosts, the first ones, that are less fit to be the owner
 
 	mu       sync.Mutex
@@ -97,7 +98,7 @@
 	}
 	t.Cleanup(f.Close)
 	s := &soakRun{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), fleet: f, client: &http.Client{Timeout: clientTimeout}, smallHosts: smallHosts,
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), fleet: f, client: &http.Client{Timeout: clientTimeout}, milliCPU: 1000, smallHosts: smallHosts,
 		specs: map[string]string{}, accepted: map[string]bool{}, rejected: map[string]bool{},
 	}
 	directory := t.TempDir() // removed after the clean-up below
@@ -231,8 +232,8 @@
 
 // submit submits a job of two steps, trying hosts in turn until one accepts it.
 func (s *soakRun) submit(number int) {
-	s.submitSteps(number, fmt.Sprintf("job %d", number), `{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":250},`+
-		`{"count":2,"cpu":1500,"mem_mb":100,"estimate_ms":250,"after":[0]}`)
+	s.submitSteps(number, fmt.Sprintf("job %d", number), fmt.Sprintf(`{"count":3,"cpu":%d,"mem_mb":100,"estimate_ms":250},`+
+		`{"count":2,"cpu":%d,"mem_mb":100,"estimate_ms":250,"after":[0]}`, s.milliCPU, s.milliCPU*3/2))
 }
 
 func (s *soakRun) submitSteps(number int, spec, steps string) {
