Soak: restarts behind silent cuts, changes of the configuration and SIGHUP among the events

The kinds are 17 in place of 13 (13 and 14: a restart, 15: a new version of the configuration, 16: SIGHUP), so that the events of all existing seeds shift.

--- a/cmd/citrongauge/longrunning_test.go
+++ b/cmd/citrongauge/longrunning_test.go
@@ -150,10 +150,6 @@
 	s.clearFaults()
 }
 
-func (s *longRunning) between(low, high int) time.Duration {
-	return time.Duration(low+s.rng.IntN(high-low)) * time.Millisecond
-}
-
 func (s *longRunning) injectFault() {
 	owner, u, d := s.owner(), s.rng.IntN(len(s.fleet.Upstreams)), s.between(2000, 10000)
 	switch kind := s.rng.IntN(13); kind {
--- a/cmd/citrongauge/soak_test.go
+++ b/cmd/citrongauge/soak_test.go
@@ -33,8 +33,8 @@
 // TestSoak runs daemon processes against the stand-in platform while it injects random faults, which may overlap:
 // processes are killed or terminated and restarted, or stopped and continued by signals; the store is unavailable or
 // slow, drops responses or compacts its history; upstreams are unresponsive, drop responses or fail their tasks;
-// connections to the store and the upstreams are delayed, reset, or stalled in one or both directions. Every accepted
-// job must end, no task may run twice, and nothing may run that was not submitted. SOAK_SEEDS sets the number of seeds,
+// connections to the store and the upstreams are delayed, reset, or stalled in one or both directions; upstreams crash
+// behind silent cuts and start again under their IDs; the configuration changes. Every accepted job must end, no task may run twice, and nothing may run that was not submitted. SOAK_SEEDS sets the number of seeds,
 // SOAK_FROM the first seed.
 func TestSoak(t *testing.T) {
 	for seed := range intFromEnvironment("SOAK_SEEDS", defaultSeeds) {
@@ -58,6 +58,9 @@
 	hosts  []*soakHost
 	client *http.Client
 
+	restarting []sync.Mutex   // by upstream: held from the cut before its crash to its entry
+	restarts   sync.WaitGroup // that go on
+
 	milliCPU   int // of each task of the first step of a job
 	smallHosts int // number of hosts, the first ones, that are less fit to be the owner
 
@@ -81,6 +84,7 @@
 	loadDone := make(chan struct{})
 	go s.submitJobs(loadDone)
 	s.injectFaults(loadDone)
+	s.restarts.Wait()
 	s.clearFaults()
 	s.verify()
 }
@@ -92,7 +96,7 @@
 }
 
 func newSoakOf(t *testing.T, seed uint64, hosts, upstreamsPerZone, smallHosts int) *soakRun {
-	f, err := platformfleet.New(platformfleet.Options{Zones: soakZones, UpstreamsPerZone: upstreamsPerZone, TaskDuration: 250 * time.Millisecond, TeamKey: soakTeamKey, ProxyUpstreams: true})
+	f, err := platformfleet.New(platformfleet.Options{Zones: soakZones, UpstreamsPerZone: upstreamsPerZone, TaskDuration: 250 * time.Millisecond, TeamKey: soakTeamKey, ProxyUpstreams: true, Seed: seed})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,6 +105,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)), fleet: f, client: &http.Client{Timeout: clientTimeout}, milliCPU: 1000, smallHosts: smallHosts,
 		specs: map[string]string{}, accepted: map[string]bool{}, rejected: map[string]bool{},
 	}
+	s.restarting = make([]sync.Mutex, len(f.Upstreams))
 	directory := t.TempDir() // removed after the clean-up below
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -283,7 +288,7 @@
 	upstreamIndex := s.rng.IntN(len(s.fleet.Upstreams))
 	u := s.fleet.Upstreams[upstreamIndex]
 	duration := time.Duration(200+s.rng.IntN(2500)) * time.Millisecond
-	kind := s.rng.IntN(13)
+	kind := s.rng.IntN(17)
 	s.t.Logf("fault %d for %v on %s or %s", kind, duration, filepath.Base(h.settingsPath), u.ID)
 	switch kind {
 	case 0:
@@ -316,9 +321,20 @@
 		injectProxyFault(h.storeProxy, s.randomProxyFault(), duration)
 	case 11, 12:
 		injectProxyFault(s.fleet.Proxies[upstreamIndex], s.randomProxyFault(), duration)
+	case 13, 14:
+		plan := s.randomRestart(upstreamIndex)
+		s.restarts.Go(func() { s.restart(plan, func() {}) })
+	case 15:
+		s.fleet.ChangeConfiguration()
+	case 16:
+		_ = h.process.Process.Signal(syscall.SIGHUP)
 	}
 }
 
+func (s *soakRun) between(low, high int) time.Duration {
+	return time.Duration(low+s.rng.IntN(high-low)) * time.Millisecond
+}
+
 func (s *soakRun) randomProxyFault() platformfleet.ProxyFault {
 	faults := []platformfleet.ProxyFault{
 		{Reset: true}, {StallToTarget: true}, {StallFromTarget: true}, {StallToTarget: true, StallFromTarget: true}, {Delay: 250 * time.Millisecond},
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -19,6 +19,8 @@
 	Proxies []*Proxy
 
 	storeAddress string
+	teamKey      string
+	version      int // of the configuration
 	servers      []*http.Server
 	done         chan struct{}
 	wg           sync.WaitGroup
@@ -46,13 +48,13 @@
 
 // New starts a fleet with one pool, one queue and one team.
 func New(options Options) (*Fleet, error) {
-	f := &Fleet{Store: NewStore(), done: make(chan struct{})}
+	f := &Fleet{Store: NewStore(), done: make(chan struct{}), teamKey: options.TeamKey}
 	address, err := f.serve(options.StoreListenAddress, f.Store)
 	if err != nil {
 		return nil, err
 	}
 	f.storeAddress = address
-	f.Store.Put("op/config", configurationJSON(1, options.TeamKey))
+	f.ChangeConfiguration()
 	for z := range options.Zones {
 		for i := range options.UpstreamsPerZone {
 			if err := f.addUpstream(fmt.Sprintf("i-%d-%d", z+1, i+1), ZoneName(z), options); err != nil {
@@ -153,13 +155,19 @@
 	f.wg.Wait()
 }
 
+// ChangeConfiguration writes the next version of the operator's configuration. Versions differ in the queue's stretch.
+func (f *Fleet) ChangeConfiguration() {
+	f.version++
+	f.Store.Put("op/config", configurationJSON(f.version, f.teamKey))
+}
+
 // configurationJSON returns the operator's configuration, which entry hosts read from the store.
 func configurationJSON(version int, key string) []byte {
 	data, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
 			"name": QueueName, "host": QueueHost, "prefix": QueuePrefix, "kind": "unsafe", "timeout_ms": 3000,
-			"target_latency_ms": 600, "priority": 0, "service": PoolName, "max_attempts": 3, "stretch": 1.6, "public": false,
+			"target_latency_ms": 600, "priority": 0, "service": PoolName, "max_attempts": 3, "stretch": []float64{2, 1.6}[version%2], "public": false,
 		}},
 		"services": []map[string]any{{"name": PoolName, "max_connections": 64, "rejects_overload": false, "standby": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
--- a/testbed/fleet/upstream.go
+++ b/testbed/fleet/upstream.go
@@ -177,13 +177,22 @@
 
 // begin begins a life, which knows nothing of before. The caller must hold the lock.
 func (u *Upstream) begin(born time.Time) {
+	firstClockMS := u.newClockMS()
 	u.life++
 	u.down = false
-	u.startedAt, u.bornMS, u.firstClockMS = time.Now(), born.UnixMilli(), 1+u.random.Int64N(maxFirstClockMS)
+	u.startedAt, u.bornMS, u.firstClockMS = time.Now(), born.UnixMilli(), firstClockMS
 	u.fencingToken, u.leaseDeadlineMS, u.lastSeq, u.ends = 0, 0, 0, nil
 	clear(u.highestEnded)
 }
 
+// newClockMS returns the first value of the next life's clock. One in eight goes on as that of the present life.
+func (u *Upstream) newClockMS() int64 {
+	if u.random.IntN(8) == 0 && u.life > 0 {
+		return u.clockMS()
+	}
+	return 1 + u.random.Int64N(maxFirstClockMS)
+}
+
 // lockLife locks the upstream for a call that the given life has received. A call of a life that has ended is dropped.
 func (u *Upstream) lockLife(life int) {
 	u.mu.Lock()
