--- a/schedule/lives_test.go
+++ b/schedule/lives_test.go
@@ -194,6 +194,25 @@
 	is.Equal(f.lives["u-1"].seq, uint64(30))
 }
 
+// Guards against ends that are not acknowledged while starts are always in flight for longer than usual (Acks): a busy upstream behind a
+// slow link. The list of ends grows until an answer does not hold them all.
+func TestEndsAreAcknowledgedWhileStartsTakeLong(t *testing.T) {
+	for _, delay := range []time.Duration{150 * time.Millisecond, 300 * time.Millisecond, 450 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newLifeFleet(t, "u-1")
+			f.startDelay = delay
+			f.addLasting(1)
+			f.live(time.Second)
+			for number := 2; number < 102; number++ { // one start every 50 ms
+				f.addShort(number, 1, 50*time.Millisecond)
+				f.live(50 * time.Millisecond)
+				is.True(len(f.lives["u-1"].ended) <= 10) // those of half a second
+			}
+		})
+	}
+}
+
 // checkFollowed checks that the upstream's only life is used: the tasks of two jobs are done there.
 func (f *lifeFleet) checkFollowed(is *is.I) {
 	is.Helper()
@@ -323,6 +342,27 @@
 	}
 }
 
+// Guards against TWICE: after the time of day has jumped back, the entry of a life that the owner has never seen arrives late, with a
+// higher born than the life that answers.
+func TestLateEntryOfAnUnseenLifeEndsNoRuns(t *testing.T) {
+	is := is.New(t)
+	f := newLifeFleet(t, "u-1")
+	f.live(time.Second)
+	f.restartUnnoticed("u-1", earlierBorn, -firstClock)
+	id := f.addLasting(1)
+	f.live(1500 * time.Millisecond)
+	is.Equal(f.runsOn("u-1", id), 1)
+	f.add("u-2")
+	f.live(200 * time.Millisecond)
+	f.deliverEntry("u-1", earlierBorn+1000) // between the two
+	f.live(2 * time.Second)
+	is.Equal(f.runsOn("u-1", id), 1)
+	is.Equal(f.core.Stats().Requeued, 0)
+	f.cut["u-2"] = true
+	f.core.UnlistUpstream("u-2")
+	f.checkFollowed(is)
+}
+
 // Guards against TWICE: after a start that the new life has answered with a lower clock, deadlines are still sent on the earlier one.
 func TestDeadlinesAreOnTheClockOfTheLifeThatHasAnswered(t *testing.T) {
 	forEachClock(t, func(t *testing.T, f *lifeFleet, ahead int64, accepted bool) {
@@ -364,6 +404,29 @@
 	})
 }
 
+// Guards against LOST: a long-running task that the known life has listed waits for the longest lease that the next one may have, when the
+// upstream is cut off while it is in doubt.
+func TestTaskListedByTheKnownLifeDoesNotWaitForTheLeaseOfTheNext(t *testing.T) {
+	for _, c := range lifeClocks {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newLifeFleet(t, "u-1")
+			held := f.addLasting(1)
+			f.live(2200 * time.Millisecond)
+			f.noPoll["u-1"] = true
+			f.restartUnnoticed("u-1", laterBorn, c.ahead)
+			id := f.addLasting(2)
+			f.live(30 * time.Millisecond)
+			f.cut["u-1"] = true
+			f.add("u-2")
+			f.live(testLease + 600*time.Millisecond)
+			is.Equal(f.runsOn("u-2", held), 1)
+			f.live(testBounds.MaxLease)
+			is.Equal(f.runsOn("u-2", id), 1)
+		})
+	}
+}
+
 // cutOffAfterStart cuts an upstream off after its new life has answered a start, calls then, and checks that the task starts elsewhere.
 func (f *lifeFleet) cutOffAfterStart(ahead int64, accepted bool, then func()) {
 	is := is.New(f.t)
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -12,6 +12,7 @@
 	platform.Upstream         // StartedMS is of the known life
 	*life                     // the known life
 	endedLives        []int64 // start times of the lives before, at most maxEndedLives
+	timeJumped        bool    // a life had an earlier start time than the one before
 	rack              string
 	listed            bool // it has an entry in the store
 	terminated        bool // it definitely runs nothing any more; kept until its runs are detached
@@ -19,6 +20,8 @@
 	// contradiction is the last entry under its ID that cannot be its own; nil: its own is newer. It is applied when this
 	// upstream is removed.
 	contradiction *platform.Upstream
+	// leftPoolMS is the start time of a life that began in another pool while this pool's tasks may run there; 0: there is none.
+	leftPoolMS int64
 	// storedStartMS is its StartedMS in the stored roster.
 	storedStartMS int64
 	inherited     bool // from an earlier owner's roster and not reached yet
@@ -73,6 +76,11 @@
 // isOverCapacity reports whether the runs on the upstream take more than its capacity, which may have shrunk.
 func (u *upstream) isOverCapacity() bool { return !job.Resources{}.Fits(u.freeCapacity()) }
 
+// hasLeftPool reports whether the known life, which has answered, is in another pool.
+func (u *upstream) hasLeftPool() bool {
+	return u.fenced && u.leftPoolMS != 0 && u.leftPoolMS == u.StartedMS
+}
+
 // isSettled reports whether, as far as this owner knows, the upstream has been there and answered for the time of one lease. One
 // that has started anew or was silent often does so again soon.
 func (c *Core) isSettled(up *upstream) bool {
@@ -89,8 +97,11 @@
 	return max(u.clock.readAt+time.Duration(left*float64(time.Millisecond))+leaseSlack, u.minLeaseEnd)
 }
 
-// lastLeaseEnd returns the time by which the leases of this owner and of earlier ones have expired.
-func (u *upstream) lastLeaseEnd() time.Duration {
+// lastLeaseEnd returns the time by which the leases of this owner and of earlier ones have expired, whichever life has them.
+func (u *upstream) lastLeaseEnd() time.Duration { return max(u.knownLeaseEnd(), u.nextLeaseEnd) }
+
+// knownLeaseEnd is lastLeaseEnd without the leases that only a next life may have.
+func (u *upstream) knownLeaseEnd() time.Duration {
 	return max(u.earlierLeaseEnd, u.minLeaseEnd, u.leaseEnd())
 }
 
@@ -161,9 +172,8 @@
 		if up.failedPolls > 0 {
 			c.endStoppedRuns(up)
 		}
-		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.lastLeaseEnd() {
-			c.noteLoss(up, !up.listed)
-			c.loseAllRuns(up, "its lease has expired")
+		if up.failedPolls > 0 && up.runs.len() > 0 && c.now > up.knownLeaseEnd() {
+			c.loseExpiredRuns(up)
 		}
 		if !up.listed && up.reconciled && up.stored && up.runs.len() == 0 && (up.terminated || up.failedPolls > 0 || up.isIdle()) {
 			c.removeUpstream(up)
@@ -171,6 +181,21 @@
 	}
 }
 
+// loseExpiredRuns loses the runs of a silent upstream whose lease has expired: those that only a next life may have later than others.
+func (c *Core) loseExpiredRuns(up *upstream) {
+	areAll := c.now > up.lastLeaseEnd()
+	var expired []*run
+	for _, r := range up.runs.all() {
+		if areAll || !r.mayBeOfNextLife() {
+			expired = append(expired, r)
+		}
+	}
+	if len(expired) > 0 {
+		c.prepareCharges(up, !up.listed)
+		c.loseRuns(up, expired, "its lease has expired")
+	}
+}
+
 // endStoppedRuns ends the long-running runs on an upstream that does not answer whose stop it has answered before: nothing of
 // them runs after the longest time that a stop takes, and a start that arrives later is rejected. Other tasks may have been
 // done before the stop.
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -19,6 +19,8 @@
 	Proxies []*Proxy
 
 	storeAddress string
+	teamKey      string
+	version      int // of the configuration
 	servers      []*http.Server
 	done         chan struct{}
 	wg           sync.WaitGroup
@@ -32,6 +34,7 @@
 	TeamKey            string        // API key of the only team
 	StoreListenAddress string        // address for the store to listen on; empty for a free port on loopback
 	ProxyUpstreams     bool          // registers a Proxy, which can inject faults, in place of each upstream's address
+	Seed               uint64        // of the clocks of the upstreams' lives
 }
 
 // Names in the configuration of every Fleet.
@@ -45,13 +48,13 @@
 
 // New starts a fleet with one pool, one queue and one team.
 func New(options Options) (*Fleet, error) {
-	f := &Fleet{Store: NewStore(), done: make(chan struct{})}
+	f := &Fleet{Store: NewStore(), done: make(chan struct{}), teamKey: options.TeamKey}
 	address, err := f.serve(options.StoreListenAddress, f.Store)
 	if err != nil {
 		return nil, err
 	}
 	f.storeAddress = address
-	f.Store.Put("op/config", configurationJSON(1, options.TeamKey))
+	f.ChangeConfiguration()
 	for z := range options.Zones {
 		for i := range options.UpstreamsPerZone {
 			if err := f.addUpstream(fmt.Sprintf("i-%d-%d", z+1, i+1), ZoneName(z), options); err != nil {
@@ -72,7 +75,7 @@
 func (f *Fleet) StoreAddress() string { return f.storeAddress }
 
 func (f *Fleet) addUpstream(id, zone string, options Options) error {
-	u := NewUpstream(id, PoolName, zone, "", options.TaskDuration)
+	u := NewUpstream(id, PoolName, zone, "", options.TaskDuration, options.Seed)
 	address, err := f.serve("", u)
 	if err != nil {
 		return err
@@ -91,6 +94,20 @@
 	return nil
 }
 
+// Heartbeat is the interval at which upstreams register themselves.
+const Heartbeat = 1500 * time.Millisecond
+
+// RegisterAfter registers the upstream's present life after a delay, unless that life has ended by then. Until then the store
+// has the entry of an earlier life, or none.
+func (f *Fleet) RegisterAfter(u *Upstream, delay time.Duration) {
+	life := u.Life()
+	time.AfterFunc(delay, func() {
+		if u.Life() == life {
+			f.Store.Put("servers/"+u.CurrentID(), u.StoreEntry())
+		}
+	})
+}
+
 // serve serves handler on an address, or on a free loopback port if it is empty, and returns the address.
 func (f *Fleet) serve(address string, handler http.Handler) (string, error) {
 	if address == "" {
@@ -138,13 +155,19 @@
 	f.wg.Wait()
 }
 
+// ChangeConfiguration writes the next version of the operator's configuration. Versions differ in the queue's stretch.
+func (f *Fleet) ChangeConfiguration() {
+	f.version++
+	f.Store.Put("op/config", configurationJSON(f.version, f.teamKey))
+}
+
 // configurationJSON returns the operator's configuration, which entry hosts read from the store.
 func configurationJSON(version int, key string) []byte {
 	data, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
 			"name": QueueName, "host": QueueHost, "prefix": QueuePrefix, "kind": "unsafe", "timeout_ms": 3000,
-			"target_latency_ms": 600, "priority": 0, "service": PoolName, "max_attempts": 3, "stretch": 1.6, "public": false,
+			"target_latency_ms": 600, "priority": 0, "service": PoolName, "max_attempts": 3, "stretch": []float64{2, 1.6}[version%2], "public": false,
 		}},
 		"services": []map[string]any{{"name": PoolName, "max_connections": 64, "rejects_overload": false, "standby": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
@@ -164,7 +187,7 @@
 ip = "127.0.0.1"
 zone = %q
 internal_ports = [%d, %d]
-heartbeat_ms = 1500
+heartbeat_ms = %d
 [listen]
 frontend = %q
 readiness = %q
@@ -191,7 +214,7 @@
 [platform]
 address = %q
 ttl_min_ms = 1000
-`, name, zone, internalPort, internalPort, clientAddress, readinessAddress, f.storeAddress)
+`, name, zone, internalPort, internalPort, Heartbeat.Milliseconds(), clientAddress, readinessAddress, f.storeAddress)
 }
 
 // Violations checks the runs that the upstreams recorded and returns a message for each violation, whose prefix names
