--- a/schedule/lives_test.go
+++ b/schedule/lives_test.go
@@ -427,6 +427,26 @@
 	}
 }
 
+// Guards against TWICE, and against LOST: a start that the new life has answered, with the clock that the known one would have, grants a
+// lease that is counted from the answer. The poll after it has failed when the entry comes, and no deadline is in flight.
+func TestStartAnsweredByNewLifeIsWaitedForAfterAFailedPoll(t *testing.T) {
+	is := is.New(t)
+	f := newLifeFleet(t, "u-1")
+	f.live(2200 * time.Millisecond)
+	f.noPoll["u-1"] = true
+	f.restartUnnoticed("u-1", laterBorn, 0)
+	id := f.addLasting(2)
+	f.live(30 * time.Millisecond)
+	is.Equal(f.runsOn("u-1", id), 1)
+	answered := f.now
+	f.live(callTimeout + 200*time.Millisecond)
+	f.cut["u-1"] = true
+	f.add("u-2")
+	f.deliverEntry("u-1", laterBorn)
+	f.live(answered + testLease + 600*time.Millisecond - f.now)
+	is.Equal(f.runsOn("u-2", id), 1)
+}
+
 // cutOffAfterStart cuts an upstream off after its new life has answered a start, calls then, and checks that the task starts elsewhere.
 func (f *lifeFleet) cutOffAfterStart(ahead int64, accepted bool, then func()) {
 	is := is.New(f.t)
