schedule: tests of acknowledgements after a restart that a poll shows, and of entries of an earlier life that are read again

Single-line changes were caught by no test: the cursor that the new life was sent counts as its own, so that its ends are never acknowledged; a stale entry that raises a doubt each time. No code is changed.

--- a/schedule/lifepolls_test.go
+++ b/schedule/lifepolls_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 )
 
@@ -99,3 +100,46 @@
 	h.core.HandlePollResult(polls[0], platform.PollResult{StartedMS: 200, ClockMS: 10}, nil)
 	is.Equal(len(h.decide().starts), 1)
 }
+
+// Guards against ends that are never acknowledged (Acks): the new life has answered a poll that acknowledged ends of the earlier one. And
+// against another new connection: the one of that poll is the new life's.
+func TestEndsOfALifeAreAcknowledgedAfterThoseOfTheEarlierOne(t *testing.T) {
+	is := is.New(t)
+	h := newLifeHarness(t)
+	id := h.addUniformJob(1, 2, 1000)
+	next := h.decide()
+	for _, start := range next.starts {
+		h.core.HandleStartResult(start, 51_000, nil)
+	}
+	ends := []platform.EndedRun{{Seq: 1, Task: job.TaskID{Job: id}, Attempt: 1, Kind: platform.EndDone}}
+	rest := []platform.CurrentRun{{Task: job.TaskID{Job: id, Index: 1}, Attempt: 1}}
+	h.core.HandlePollResult(next.polls[0], platform.PollResult{StartedMS: 100, ClockMS: 51_000, Ended: ends, Running: rest}, nil)
+	h.advance(100 * time.Millisecond)
+	next = h.decide()
+	is.Equal(next.polls[0].Request.AckedSeq, uint64(1))
+	h.core.HandlePollResult(next.polls[0], platform.PollResult{StartedMS: 200, ClockMS: 10}, nil)
+	h.advance(100 * time.Millisecond)
+	next = h.decide()
+	is.Equal(len(next.starts), 1)
+	is.True(!next.polls[0].NewConnection)
+	attempt := next.starts[0].Command.Attempt
+	h.core.HandleStartResult(next.starts[0], 110, nil)
+	ends = []platform.EndedRun{{Seq: 1, Task: job.TaskID{Job: id, Index: 1}, Attempt: attempt, Kind: platform.EndDone}}
+	h.core.HandlePollResult(next.polls[0], platform.PollResult{StartedMS: 200, ClockMS: 110, Ended: ends}, nil)
+	h.advance(100 * time.Millisecond)
+	next = h.decide()
+	is.Equal(len(next.polls), 1)
+	is.Equal(next.polls[0].Request.AckedSeq, uint64(1))
+}
+
+// Guards against an upstream that is closed, and polled on a new connection, each time when an entry of an earlier life is read.
+func TestEntryOfAnEarlierLifeRaisesOneDoubt(t *testing.T) {
+	is := is.New(t)
+	h := newLifeHarness(t)
+	h.setLife(50)
+	h.core.HandlePollResult(h.decide().polls[0], platform.PollResult{StartedMS: 100, ClockMS: 51_000}, nil)
+	h.advance(time.Second)
+	h.setLife(50)
+	is.Equal(len(h.decide().polls), 0)
+	is.Equal(h.core.Stats().Doubts, 1)
+}
