--- a/schedule/lives_test.go
+++ b/schedule/lives_test.go
@@ -271,7 +271,9 @@
 }
 
 // inherit gives a new owner a roster in which u-1 has the given life, and a job with a long-running task that was placed there.
-func (f *lifeFleet) inherit(rosterBorn int64) job.ID { return f.inheritStep(rosterBorn, lasting(1, 1000)) }
+func (f *lifeFleet) inherit(rosterBorn int64) job.ID {
+	return f.inheritStep(rosterBorn, lasting(1, 1000))
+}
 
 func (f *lifeFleet) inheritStep(rosterBorn int64, step job.Step) job.ID {
 	entry := upstreamEntry("u-1", 16000)
