--- a/schedule/lifeupkeep_test.go
+++ b/schedule/lifeupkeep_test.go
@@ -45,3 +45,25 @@
 	h.advance(100 * time.Millisecond)
 	is.Equal(h.awaitUpkeepCommand().upkeeps[0].Machine != first[0].Machine, true)
 }
+
+// Guards against a wave that waits for ever: the machine comes back under the ID that was removed meanwhile.
+func TestMachineBackUnderARemovedIDCompletesItsUpkeep(t *testing.T) {
+	is := is.New(t)
+	h := newWaveHarness(t)
+	h.core.HandleUpkeepResult(h.awaitUpkeepCommand().upkeeps[0], nil)
+	h.core.UnlistUpstream("u-1")
+	for end := h.now + testBounds.UpkeepDuration; h.now < end; h.advance(50 * time.Millisecond) {
+		for _, poll := range h.decide().polls {
+			h.core.HandlePollResult(poll, platform.PollResult{}, lostStart)
+		}
+	}
+	h.core.WaveRecords()
+	h.addUpstream("u-1")
+	for range 4 {
+		h.answerAll(h.decide(), nil)
+		h.advance(100 * time.Millisecond)
+	}
+	records := h.core.WaveRecords()
+	is.Equal(len(records), 1)
+	is.Equal(records[0].Done, []string{"m-u-1"})
+}
