--- a/schedule/lifefleet_test.go
+++ b/schedule/lifefleet_test.go
@@ -29,6 +29,7 @@
 	logged     []logLine
 	phases     map[job.ID]job.Phase // as stored
 	starts     []schedule.Start     // that an upstream has received
+	polls      []schedule.Poll      // that were sent
 	tickets    bool                 // starts need the ticket of the upstream's life
 	// storeDelay is how long the store takes for the records that it gets from now on; storing: it has not confirmed the last ones.
 	storeDelay time.Duration
@@ -189,6 +190,7 @@
 	case schedule.Stop:
 		f.answerStop(call)
 	case schedule.Poll:
+		f.polls = append(f.polls, call)
 		f.after(f.pollDelay, func() { f.receivePoll(call) })
 		f.doDue()
 	case schedule.AdviceRequest:
--- a/schedule/lives_test.go
+++ b/schedule/lives_test.go
@@ -181,6 +181,27 @@
 	}
 }
 
+// Guards as above, with a poll after a failed one (TestHistoriesOfUnnoticedRestarts, seeds 35166893 and, with -lives.rising, 30237187). It
+// needs a new connection, on which it may reach a new life late, when that has ends.
+func TestPollAfterAFailedOneAcknowledgesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newLifeFleet(t, "u-1")
+	f.addShort(1, 3, 50*time.Millisecond)
+	f.live(30 * time.Millisecond)
+	f.storeDelay = 380 * time.Millisecond
+	f.live(60 * time.Millisecond)
+	is.Equal(f.lives["u-1"].listed, uint64(3)) // and is to be acknowledged when it is stored
+	f.cut["u-1"], f.polls = true, nil
+	f.live(6 * time.Second)
+	is.True(len(f.polls) > 2)
+	for _, poll := range f.polls[1:] {
+		is.Equal(poll.Request.AckedSeq, uint64(0))
+	}
+	f.cut["u-1"] = false
+	f.live(3 * time.Second)
+	is.Equal(len(f.lives["u-1"].ended), 0)
+}
+
 // Guards against ends that are acknowledged late, which counts as a missed duty: in normal operation they are within half a second.
 func TestEndsAreAcknowledgedPromptly(t *testing.T) {
 	is := is.New(t)
--- a/schedule/livesim_test.go
+++ b/schedule/livesim_test.go
@@ -327,6 +327,9 @@
 			return
 		}
 		u.unreachable, sim.lives.gone[u.id] = true, true
+		if sim.owner.dead { // otherwise nothing may show anybody that there is this life
+			sim.lives.storedBorn[u.id] = u.startedMS
+		}
 		sim.lives.cuts[u.id] = simCut{sim.now, sim.now + time.Hour}
 		sim.log("SIM cut off for good", u.id)
 		sim.disturb(sim.delay("entry stays", 3000), func() { sim.unlistSeen(u) })
