--- a/schedule/absent.go
+++ b/schedule/absent.go
@@ -107,6 +107,8 @@
 		return "gone"
 	case !up.fenced || !up.stored || up.failedPolls > 0:
 		return "not reached"
+	case up.inDoubt:
+		return "in doubt"
 	case up.Draining || c.evacuated[up.Zone]:
 		return "draining"
 	case up.unknownRuns > 0:
--- a/schedule/life.go
+++ b/schedule/life.go
@@ -291,12 +291,13 @@
 )
 
 // ackToSend returns the highest end that a poll may acknowledge now, 0 if none. An upstream that has started anew would forget its
-// own ends up to that number, which the owner has never seen. It has none if nothing was started there since its last response.
+// own ends up to that number, which the owner has never seen. It has none if nothing was started there since its last response. A poll after
+// a failed one may reach a later life late, on its new connection.
 func (c *Core) ackToSend(up *upstream) uint64 {
 	if up.ackable <= up.ackConfirmed {
 		return 0
 	}
-	up.ackWithheld = up.inDoubt || c.mayHaveUnseenEnds(up)
+	up.ackWithheld = up.inDoubt || up.failedPolls > 0 || c.mayHaveUnseenEnds(up)
 	if up.ackWithheld {
 		return 0
 	}
