--- a/schedule/losses.go
+++ b/schedule/losses.go
@@ -65,14 +65,15 @@
 		c.askPeers(l)
 	}
 	for _, r := range suspects {
-		r.charge = &charge{l, len(suspects) == 1}
+		r.charge = &charge{l, len(suspects) == 1, c.followsStart(l, r)}
 	}
 }
 
 // charge is the loss of an upstream for which a run is to be charged, once it is known that the lost life had the run.
 type charge struct {
-	loss  *loss
-	alone bool // no other run could have caused it
+	loss    *loss
+	alone   bool // no other run could have caused it
+	evident bool // the upstream had lived on without the run, and was lost at once when the run was started
 }
 
 // applyCharge counts the loss of the run's upstream, if there is one to be counted, against the run's task.
@@ -80,10 +81,24 @@
 	if r.charge == nil {
 		return
 	}
-	l, alone := r.charge.loss, r.charge.alone
+	l, alone, evident := r.charge.loss, r.charge.alone, r.charge.evident
 	r.charge = nil
 	l.suspects = append(l.suspects, suspectRun{r.part, r.index, r.attempt})
-	c.suspect(r.part, job.TaskCrash{Index: r.index, Attempt: r.attempt, Alone: alone, Unproved: true}, l.upstream.ID)
+	c.suspect(r.part, job.TaskCrash{
+		Index: r.index, Attempt: r.attempt, Alone: alone, Unproved: true, Evident: evident,
+	}, l.upstream.ID)
+}
+
+// followsStart reports whether the upstream had lived on without the run, and was lost at once when the run was started. If it
+// was not heard just before, or was silent already, it may have crashed before; if it fell silent later, for another cause. The
+// start of a run that this owner did not start is not known.
+func (c *Core) followsStart(l *loss, r *run) bool {
+	return !r.adopted && (l.isAtOnceAfter(r.started) || l.isAtOnceAfter(r.sentAt)) && c.hasLived(r.up, r.task(), r.started)
+}
+
+// isAtOnceAfter reports whether the upstream was heard just before or after a call was sent, and fell silent at once.
+func (l *loss) isAtOnceAfter(sent time.Duration) bool {
+	return l.from >= sent-atOnce && l.to >= sent && l.to <= sent+atOnce
 }
 
 // noteUnlisted records that an upstream has lost its entry. A lease that has expired was then that of a crash.
@@ -121,13 +136,18 @@
 // lossOf returns the recorded loss of the upstream's life, or nil.
 func (c *Core) lossOf(up *upstream) *loss {
 	for _, l := range c.losses {
-		if l.upstream.ID == up.ID && l.startedMS == up.StartedMS {
+		if l.isOfLife(up) {
 			return l
 		}
 	}
 	return nil
 }
 
+// isOfLife reports whether the loss is that of the upstream's incarnation.
+func (l *loss) isOfLife(up *upstream) bool {
+	return l.upstream.ID == up.ID && l.startedMS == up.StartedMS
+}
+
 // heardAt returns when the upstream was last known to live.
 func (u *upstream) heardAt() time.Duration { return max(u.lastResponseAt, u.clock.readAt) }
 
