--- a/job/progress.go
+++ b/job/progress.go
@@ -109,7 +109,34 @@
 	// Unproved is set unless the upstream crashed, without a cause in common with others.
 	Unproved bool `cbor:"6,keyasint,omitempty"`
 	// Evident is set if the upstream had lived on before the attempt, and crashed at once when it was started.
-	Evident bool `cbor:"7,keyasint,omitempty"`
+	Evident bool `cbor:"-"`
+}
+
+// storedCrash is the stored form of a TaskCrash. Earlier versions reject records with fields that they do not know. So a crash that was
+// judged and is no evidence is stored as unseen and unproved, which none is otherwise; evidence that is not judged yet is not stored.
+type storedCrash TaskCrash
+
+// MarshalCBOR implements cbor.Marshaler.
+func (t TaskCrash) MarshalCBOR() ([]byte, error) {
+	stored := storedCrash(t)
+	if !t.Unseen && !t.Unproved && !t.Evident {
+		stored.Unseen, stored.Unproved = true, true
+	}
+	return encMode.Marshal(stored)
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler. A crash that an earlier version has judged counts as evidence, as it did there.
+func (t *TaskCrash) UnmarshalCBOR(data []byte) error {
+	var stored storedCrash
+	if err := decMode.Unmarshal(data, &stored); err != nil {
+		return err
+	}
+	*t = TaskCrash(stored)
+	t.Evident = !t.Unseen && !t.Unproved
+	if t.Unseen && t.Unproved {
+		t.Unseen, t.Unproved = false, false
+	}
+	return nil
 }
 
 // IsDone reports whether the task at index is done.
