--- a/schedule/life.go
+++ b/schedule/life.go
@@ -49,36 +49,6 @@
 // meantFor marks a call to an upstream that is sent now.
 func (c *Core) meantFor(up *upstream) meant { return meant{up.life, c.now} }
 
-// clockReading is an upstream's clock as a response has shown it. Since then it has advanced by the elapsed time or by up to
-// 2% less.
-type clockReading struct {
-	ms      int64
-	askedAt time.Duration // when the call was sent: the clock was not read before
-	readAt  time.Duration // when the response was received: the clock was not read later; 0: there is no reading
-}
-
-// clockTolerance is how far a clock may be from the bounds of the life's clock, for rounding and the difference of two clocks' rates.
-const clockTolerance = 100 * time.Millisecond
-
-// estimate returns a lower bound of the clock at a time.
-func (r clockReading) estimate(now time.Duration) int64 {
-	return r.ms + int64(minClockRate*float64((now-r.readAt).Milliseconds()))
-}
-
-// agrees reports whether the clock in the response, received now, to a call that was sent at sentAt can be the same clock.
-func (r clockReading) agrees(ms int64, sentAt, now time.Duration) bool {
-	if ms == 0 || r.readAt == 0 {
-		return true
-	}
-	least := r.ms - (r.readAt - sentAt).Milliseconds()
-	if sentAt > r.readAt {
-		least = r.estimate(sentAt)
-	}
-	most := r.ms + (now - r.askedAt).Milliseconds()
-	tolerance := clockTolerance.Milliseconds()
-	return least-tolerance <= ms && ms <= most+tolerance
-}
-
 // readClock records the clock in a response from this life; 0 means that the response had none. Responses may overtake each other.
 func (l *life) readClock(ms int64, sentAt, now time.Duration) {
 	if ms > l.clock.ms || ms > 0 && !l.clock.agrees(ms, sentAt, now) {
@@ -282,46 +252,6 @@
 	return maxCommandTime + time.Duration(float64(lease)/minClockRate)
 }
 
-const (
-	// maxProofAge is how long after the response to a poll ends are acknowledged although tasks have been started since. In a longer
-	// time the upstream may start anew, and end such a task under the same number.
-	maxProofAge = 200 * time.Millisecond
-	// promptResponse is the time in which an upstream that lives responds to a start.
-	promptResponse = 100 * time.Millisecond
-)
-
-// ackToSend returns the highest end that a poll may acknowledge now, 0 if none. An upstream that has started anew would forget its
-// own ends up to that number, which the owner has never seen. It has none if nothing was started there since its last response. A poll after
-// a failed one may reach a later life late, on its new connection.
-func (c *Core) ackToSend(up *upstream) uint64 {
-	if up.ackable <= up.ackConfirmed {
-		return 0
-	}
-	up.ackWithheld = up.inDoubt || up.failedPolls > 0 || c.mayHaveUnseenEnds(up)
-	if up.ackWithheld {
-		return 0
-	}
-	return up.ackable
-}
-
-// mayHaveUnseenEnds reports whether a later life of the upstream may have ends already.
-func (c *Core) mayHaveUnseenEnds(up *upstream) bool {
-	isOld := c.now > up.lastResponseAt+maxProofAge
-	for _, r := range up.runs.all() {
-		if r.state != runPlanned && r.heldBy != up.life && (isOld || r.mayHaveBegunUnseen(c.now)) {
-			return true
-		}
-	}
-	return false
-}
-
-// mayHaveBegunUnseen reports whether a copy of the run's start may have been carried out since the last response to a poll, by a life
-// that is not known yet. A start that is in flight for long says so only if that response is as old: under load many are.
-func (r *run) mayHaveBegunUnseen(now time.Duration) bool {
-	isAwaited := r.startInFlight && now > max(r.started, r.up.lastResponseAt)+promptResponse
-	return isAwaited || r.lostStarts > 0 && r.up.answeredSeq <= r.pollSeqAtReturn
-}
-
 // newUpstream returns an upstream of which nothing but its entry is known.
 func newUpstream() *upstream {
 	return &upstream{life: &life{}, runs: newOrderedMap[job.TaskID, *run]()}
--- /dev/null
+++ b/schedule/unseen.go
@@ -0,0 +1,78 @@
+package schedule
+
+import "citrongauge.example/citrongauge/job"
+
+// What tasks of an earlier owner may be running on upstreams that have not been reached since the claim.
+
+func (p *pool) hasUnreconciled() bool {
+	for _, up := range p.upstreams.all() {
+		if !up.reconciled {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRunUnseen reports whether a task without a known run may be running: an earlier owner may have started it on an
+// upstream that has not been reached since the claim. A long-running task does not wait for the lease of a life that the stored roster
+// lacks: the platform's longest lease is longer than it may be without a run.
+func (c *Core) mayRunUnseen(p *part, t *task) bool {
+	if !p.job.inherited || !c.anyUnreconciled || t.done || len(t.runs) > 0 || t.placedOn == "" {
+		return false
+	}
+	up := c.upstreams.get(t.placedOn)
+	if up == nil || up.reconciled {
+		return false
+	}
+	return !p.step.LongRunning || !c.rosterLeaseExpired(up)
+}
+
+// mayStart reports whether a task is waiting, and not running anywhere but for what mayRunUnseen leaves out.
+func (c *Core) mayStart(p *part, t *task) bool { return t.isWaiting(c.now) && !c.mayRunUnseen(p, t) }
+
+// reserveUnseen estimates, for each team, the resources of tasks of an earlier owner that may be running unseen. The
+// estimate is bounded by the tasks' requests and by the capacity of the upstreams that have not been reached since
+// the claim.
+func (c *Core) reserveUnseen() {
+	for _, t := range c.teams {
+		t.reserved = job.Resources{}
+	}
+	c.anyUnreconciled = false
+	for _, p := range c.pools.all() {
+		if !p.hasUnreconciled() {
+			continue
+		}
+		c.anyUnreconciled = true
+		var unreconciled job.Resources
+		for _, up := range p.upstreams.all() {
+			if !up.reconciled {
+				unreconciled = unreconciled.Add(up.Capacity)
+			}
+		}
+		for t, sum := range c.unseenRequests(p) {
+			t.reserved = t.reserved.Add(job.Resources{
+				MilliCPU: min(sum.MilliCPU, unreconciled.MilliCPU), MemoryMB: min(sum.MemoryMB, unreconciled.MemoryMB),
+				GPU: min(sum.GPU, unreconciled.GPU),
+			})
+		}
+	}
+}
+
+// unseenRequests returns, for each team, the requests of the tasks that may be running unseen in a pool, including
+// tasks of ended jobs.
+func (c *Core) unseenRequests(p *pool) map[*team]job.Resources {
+	unseen := map[*team]job.Resources{}
+	for _, j := range c.jobs.all() {
+		if !j.inherited || j.Queue.Pool != p.name {
+			continue
+		}
+		for _, part := range j.parts {
+			for i := range part.tasks {
+				if c.mayRunUnseen(part, &part.tasks[i]) {
+					unseen[j.team] = unseen[j.team].Add(part.step.Request)
+				}
+			}
+		}
+	}
+	return unseen
+}
