--- a/schedule/newliferun_test.go
+++ b/schedule/newliferun_test.go
@@ -32,3 +32,30 @@
 	is.Equal(len(c.stops), 0)
 	is.Equal(len(c.starts), 0)
 }
+
+// Guards as above, with a start that is still in flight when a poll of the new life is answered, and is carried out a little later.
+func TestStartInFlightToTheNewLifeIsNotStopped(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.addUpstream("u-1")
+	h.fenceAll(platform.PollResult{})
+	h.addUniformJob(1, 1, 1000)
+	start := h.decide().starts[0]
+	entry := upstreamEntry("u-1", 16000)
+	entry.StartedMS = 2
+	h.core.SetUpstream(entry)
+	answer := func(running ...platform.CurrentRun) {
+		for _, poll := range h.decide().polls {
+			h.core.HandlePollResult(poll, platform.PollResult{StartedMS: 2, ClockMS: 40, Running: running}, nil)
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	answer()
+	is.Equal(len(h.decide().stops), 0)
+	h.core.HandleStartResult(start, 100, nil)
+	h.advance(100 * time.Millisecond)
+	answer(platform.CurrentRun{Task: start.Command.Task, Attempt: start.Command.Attempt})
+	c := h.decide()
+	is.Equal(len(c.stops), 0)
+	is.Equal(len(c.starts), 0)
+}
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -28,6 +28,9 @@
 	if r.state == runStopped || r.state == runRunning {
 		c.applyCharge(r)
 	}
+	if r.awaitsNewLife && r.startInFlight {
+		return // the new life may be about to carry it out
+	}
 	if r.awaitsNewLife && r.mayStillStart() {
 		c.stopStrayCopies(r)
 		return
