schedule: calls to an earlier life of an upstream are barred before its new life is used (TWICE)

What callers would see: a task runs again after its success was taken note of. Calls without an answer are carried out seconds later.

Cause: docs/platform-design.md assumed that such a call is dropped when its upstream starts anew. All lives of an upstream got the same fencing token from an owner, so the next life carried out what had been sent to the one before: a copy of a start whose run had ended, and a poll whose acknowledgement made it forget ends that nobody had seen.

Change: the first poll of a life that follows a restart carries a higher token than all calls before, so that the upstream rejects those from then on, and what the response does not list can't begin any more. Tasks start there only after that. A token is a revision at which the owner has stored something: it is below the next claim's, so an owner of an earlier version, whose token is its claim's revision, is not fenced off by it. A rejection of a lower token of the owner's own is no sign of a later owner. Runs that a new life may have begun are no longer stopped there: the poll shows them.

Tests changed: TestEndsOfALifeAreAcknowledged... answers the barring poll before the start; TestStoppedTaskDoesNotWait... and TestLateAnswerToAStop... get their stop from a drain, since a restart no longer stops anything. The histories' late calls outlive their life, but for those that reach one that no owner has had the time to fence.

--- a/ledger/writes.go
+++ b/ledger/writes.go
@@ -91,6 +91,16 @@
 	return group.Wait()
 }
 
+// NewestRevision returns the revision of the newest write of this ownership that is known to have been executed, or of its claim. The
+// revision of any later claim is higher.
+func (o *Ownership) NewestRevision() uint64 {
+	newest := o.chain.revision
+	for _, lane := range o.lanes {
+		newest = max(newest, lane.revision)
+	}
+	return newest
+}
+
 func (o *Ownership) storeIn(ctx context.Context, l *lane, write Write) error {
 	txn, err := o.buildTxn(l, write)
 	if err != nil {
--- a/owner/store.go
+++ b/owner/store.go
@@ -72,6 +72,7 @@
 		s.failure = err
 		return
 	}
+	s.core.SetNewestWrite(s.ownership.NewestRevision())
 	s.core.RosterStored(roster)
 	s.core.RecordsStored(batch)
 }
--- a/schedule/cancel_test.go
+++ b/schedule/cancel_test.go
@@ -23,7 +23,7 @@
 	for range 5 {
 		h.advance(testBounds.Retention / 2)
 		batch := h.core.TakeRecords()
-		h.core.RecordsStored(batch.Number)
+		h.recordsStored(batch.Number)
 		for _, record := range batch.Jobs {
 			if record.Remove {
 				removed = append(removed, record)
--- a/schedule/capacity_test.go
+++ b/schedule/capacity_test.go
@@ -25,7 +25,7 @@
 	is.Equal(len(callsOf[schedule.Start](h.core.Decide())), 0) // planned: their placements have to be stored
 	batch := h.core.TakeRecords().Number
 	h.core.SetUpstream(upstreamEntry("u-1", 12000))
-	h.core.RecordsStored(batch)
+	h.recordsStored(batch)
 	starts := h.decide().starts
 	is.Equal(len(starts), 1)
 
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -53,7 +53,7 @@
 	Bounds     platform.Bounds
 	Lease      time.Duration // lease of the runs on an upstream, renewed by starts and polls
 	Generation uint64        // number of ownerships before this one
-	Token      uint64        // fencing token
+	Token      uint64        // first fencing token, the revision of the claim
 	Claimed    time.Duration // when the ownership was claimed, on the caller's monotonic clock
 	// EarlierEnded is a time by which the ownership before this one had ended, on the caller's monotonic clock: no lease was granted
 	// after it. 0: not known, the time of the claim.
@@ -123,7 +123,8 @@
 	fencing         int                         // number of polls in flight to upstreams that are not fenced
 	plannedRuns     []*run                      // runs whose upstreams are being recorded before the start is sent
 	unresolvedRuns  *orderedMap[*run, struct{}] // runs with a command that may have to be sent again
-	superseded      bool                        // an upstream has seen a higher fencing token
+	superseded      bool                        // an upstream has seen the fencing token of a later owner
+	newestToken     uint64                      // the highest token that this owner may use
 
 	wantedLabels []string // labels required by waiting tasks of the pool being placed
 	lastTurn     bool     // jobs in doubt need not leave trials to others any more in this round
@@ -191,8 +192,8 @@
 		options.EarlierLease = options.Lease
 	}
 	return &Core{
-		Options: options,
-		jobs:    newOrderedMap[job.ID, *jobState](), repeated: newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
+		Options: options, newestToken: options.Token,
+		jobs: newOrderedMap[job.ID, *jobState](), repeated: newOrderedMap[job.ID, *jobState](), upstreams: newOrderedMap[string, *upstream](), pools: newOrderedMap[string, *pool](),
 		teams: map[string]*team{}, queues: map[string]platform.BundleQueue{}, durationRatios: map[string]*durationRatio{},
 		window:          startWindow{limit: initialStartWindow},
 		newestUpstreams: map[string]*upstream{}, roster: newOrderedMap[string, *upstream](),
@@ -211,7 +212,7 @@
 // LimitLeases sets the latest end of the leases that are granted from now on.
 func (c *Core) LimitLeases(end time.Duration) { c.leasesEnd = end }
 
-// Superseded reports whether an upstream has seen a higher fencing token than this owner's.
+// Superseded reports whether an upstream has seen the fencing token of a later owner.
 func (c *Core) Superseded() bool { return c.superseded }
 
 // Stats returns the current counters.
--- a/schedule/entries.go
+++ b/schedule/entries.go
@@ -33,7 +33,7 @@
 		up = nil
 	}
 	if up == nil {
-		up = newUpstream()
+		up = c.newUpstream()
 		up.Upstream, up.storedStartMS, up.addedAt = entry, entry.StartedMS, c.now
 		up.cordoned = c.mayEndByCommand(up)
 		c.upstreams.set(entry.ID, up)
@@ -115,7 +115,7 @@
 		c.upstreams.get(entry.ID).stored = true
 		return
 	}
-	up := newUpstream()
+	up := c.newUpstream()
 	up.Upstream, up.rack = entry, platform.RackOf(entry.Labels)
 	up.stored, up.inherited, up.storedStartMS = true, true, entry.StartedMS
 	up.earlierLeaseEnd = c.earlierLeaseEnd(entry.ID)
--- /dev/null
+++ b/schedule/fence.go
@@ -0,0 +1,57 @@
+package schedule
+
+// An upstream that starts anew under its ID takes calls that were meant for its life before, and a call without an answer may be carried
+// out seconds later, by whichever life is there then. But it does nothing for a lower fencing token than the highest that it has seen. So
+// a poll with a higher token than all calls that were sent there before bars these: what the response does not list cannot begin there any
+// more, and none of them ends a run, acknowledges an end or extends a lease. Each life that follows a restart is isolated like this
+// before tasks are started there.
+//
+// Any revision at which this owner has stored something is a token of its own: a write succeeds only while the ownership lasts, so that the
+// revision of the next claim, the first token of the next owner, is higher.
+
+// SetNewestWrite records the revision of a confirmed write of this owner.
+func (c *Core) SetNewestWrite(revision uint64) { c.newestToken = max(c.newestToken, revision) }
+
+// bar requests that all calls sent to the upstream so far are barred. If nothing was stored since its last token, its roster record is
+// stored again.
+func (c *Core) bar(up *upstream) {
+	up.barUpTo, up.nextPoll = up.token, c.now
+	if !c.hasHigherToken(up) {
+		c.roster.set(up.ID, up)
+	}
+}
+
+// hasHigherToken reports whether there is a higher token than that of all calls sent to the upstream.
+func (c *Core) hasHigherToken(up *upstream) bool { return c.newestToken > up.token }
+
+// awaitsBar reports whether calls are to be barred, and a poll can do it.
+func (c *Core) awaitsBar(up *upstream) bool {
+	return up.barUpTo > 0 && (up.token > up.barUpTo || c.hasHigherToken(up))
+}
+
+// raiseToken has the next poll bar the calls that are to be barred.
+func (c *Core) raiseToken(up *upstream) {
+	if up.barUpTo == up.token {
+		up.token = max(up.token, c.newestToken)
+	}
+}
+
+// noteBarred records that the known life has answered a poll with the given token, so that it carries out no call with a lower one.
+func (c *Core) noteBarred(up *upstream, token uint64) {
+	up.barredBelow = max(up.barredBelow, token)
+	if up.barUpTo == 0 || token <= up.barUpTo {
+		return
+	}
+	up.barUpTo = 0
+	if !up.isolated {
+		up.isolated = true
+		c.Log("upstream isolated from calls to earlier lives", "upstream", up.ID, "born", up.StartedMS, "token", token,
+			"restarted_ms_ago", c.msSince(up.restartedAt))
+	}
+}
+
+// isBarred reports whether no copy of the run's start can be carried out by an upstream that has seen the token.
+func (r *run) isBarred(token uint64) bool { return r.startToken < token }
+
+// isOwnFence reports whether the upstream rejected a call because it has seen a higher token of this owner.
+func (u *upstream) isOwnFence(token uint64) bool { return token < u.token }
--- a/schedule/givenback_test.go
+++ b/schedule/givenback_test.go
@@ -60,7 +60,7 @@
 			}
 			f.answer(call)
 		}
-		f.core.RecordsStored(f.core.TakeRecords().Number)
+		f.recordsStored(f.core.TakeRecords().Number)
 	}
 	is.True(sent)
 }
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -31,6 +31,19 @@
 	// earlierEnded is when the next claim takes the ownership before it for ended; 0: at the claim.
 	earlierEnded time.Duration
 	longLeases   schedule.LongLeases // as stored
+	revision     uint64              // of the store
+}
+
+// recordsStored confirms a batch of records.
+func (h *harness) recordsStored(batch uint64) {
+	h.core.SetNewestWrite(h.nextRevision())
+	h.core.RecordsStored(batch)
+}
+
+// nextRevision returns the revision of a write to the store.
+func (h *harness) nextRevision() uint64 {
+	h.revision++
+	return h.revision
 }
 
 func newHarness(t *testing.T) *harness {
@@ -43,7 +56,7 @@
 func (h *harness) claim(knownLeaseEnds map[string]time.Duration) {
 	h.generation++
 	h.core = schedule.New(schedule.Options{
-		Bounds: testBounds, Lease: testLease, Generation: h.generation - 1, Token: 6 + h.generation, Claimed: h.now,
+		Bounds: testBounds, Lease: testLease, Generation: h.generation - 1, Token: h.nextRevision(), Claimed: h.now,
 		KnownLeaseEnds: knownLeaseEnds, EarlierEnded: h.earlierEnded,
 		Log:     func(event string, fields ...any) { h.t.Log(append([]any{h.now, event}, fields...)...) },
 		Observe: func(string, string, string, time.Duration) {},
@@ -125,7 +138,7 @@
 	all := h.core.Decide()
 	if h.core.HasUnstoredRecords() {
 		batch := h.core.TakeRecords().Number
-		h.core.RecordsStored(batch)
+		h.recordsStored(batch)
 		all = append(all, h.core.Decide()...)
 	}
 	for _, call := range all {
--- a/schedule/histories_test.go
+++ b/schedule/histories_test.go
@@ -154,7 +154,10 @@
 	frozen := sim.owner
 	frozen.core.SetTime(sim.now, sim.now.Milliseconds())
 	for _, call := range frozen.core.Decide() {
-		sim.calls = append(sim.calls, &pendingCall{owner: frozen, call: call, at: sim.now + ownerLeaseTTL + sim.delay("frozen", 6000), responseLost: true, targetStartedMS: sim.upstream(targetOf(call)).startedMS})
+		at := sim.now + ownerLeaseTTL + sim.delay("frozen", 6000)
+		sim.calls = append(sim.calls, &pendingCall{
+			owner: frozen, call: call, at: at, responseLost: true, late: true, sentTo: sim.upstream(targetOf(call)).startedMS,
+		})
 	}
 	sim.killOwner()
 }
--- a/schedule/lasting_test.go
+++ b/schedule/lasting_test.go
@@ -62,7 +62,7 @@
 		for _, call := range f.core.Decide() {
 			f.answer(call)
 		}
-		f.core.RecordsStored(f.core.TakeRecords().Number)
+		f.recordsStored(f.core.TakeRecords().Number)
 	}
 }
 
@@ -399,14 +399,20 @@
 func TestStoppedTaskDoesNotWaitForSilentUpstream(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, entries("u-1", "u-2")...)
-	f.loses = true
 	id := f.addJob(1, lasting(1, 1000))
-	f.live(100 * time.Millisecond)
-	is.Equal(f.core.Stats().Starts, 1) // on u-1, without a response
-	f.loses = false
-	f.restart("u-1")
-	f.live(100 * time.Millisecond) // a poll does not list the run, and the stop is answered
+	f.live(500 * time.Millisecond)
+	is.Equal(len(f.running["u-1"]), 1)
+	f.drain("u-1")
+	f.live(50 * time.Millisecond) // the stop is answered
+	is.Equal(f.core.Stats().Stops, 1)
 	f.silent["u-1"] = true
 	f.live(3 * time.Second)
 	is.Equal(f.runsOf(id), 1)
 }
+
+// drain delivers the entry of an upstream that is about to leave.
+func (f *fleet) drain(id string) {
+	entry := upstreamEntry(id, 16000)
+	entry.StartedMS, entry.Draining = max(f.started[id], 1), true
+	f.core.SetUpstream(entry)
+}
--- a/schedule/leaselimit_test.go
+++ b/schedule/leaselimit_test.go
@@ -32,7 +32,7 @@
 			}
 			f.answer(call)
 		}
-		f.core.RecordsStored(f.core.TakeRecords().Number)
+		f.recordsStored(f.core.TakeRecords().Number)
 	}
 	is.True(started > 0 && extended > 0)
 }
@@ -63,7 +63,7 @@
 		if batch.Unreached != nil && batch.Unreached.LeaseLeftMS["u-1"] == 0 {
 			cleared = true
 		}
-		h.core.RecordsStored(batch.Number)
+		h.recordsStored(batch.Number)
 	}
 	is.True(granted)
 }
--- a/schedule/life.go
+++ b/schedule/life.go
@@ -15,6 +15,9 @@
 type life struct {
 	fenced   bool // it has answered a poll with this owner's token
 	fencedAt time.Duration
+	// isolated is set once no call that was sent to an earlier life can be carried out by this one.
+	isolated    bool
+	barredBelow uint64 // highest token of the polls that it has answered
 	// inDoubt is set while a response has shown a clock that cannot be this life's, until a poll shows which life answers. Nothing
 	// is started, acknowledged or extended there meanwhile.
 	inDoubt    bool
@@ -158,6 +161,7 @@
 	up.noteEnded(up.StartedMS)
 	up.noteNotEnded(startedMS)
 	up.StartedMS, up.life = startedMS, &life{reconnect: true}
+	c.bar(up)
 	for _, r := range unproved {
 		c.keepOverRestart(r)
 	}
@@ -172,7 +176,7 @@
 
 // mayBeOfNextLife reports whether the run may be one of the life after the known one, which may have received its start.
 func (r *run) mayBeOfNextLife() bool {
-	return r.mayStillStart() || r.startAnswered && r.heldBy != r.up.life
+	return r.hasOpenCopies() || r.startAnswered && r.heldBy != r.up.life
 }
 
 // mayRunOnNextLife reports whether the life after the known one may have runs already.
@@ -188,21 +192,11 @@
 // keepOverRestart keeps a run that the new life of its upstream may have, until a poll shows whether it has.
 func (c *Core) keepOverRestart(r *run) {
 	r.begunMS, r.confirmedPace, r.requestedPace = 0, fullPercent, fullPercent
-	switch {
-	case r.state == runStopped || r.state == runStopping:
+	if r.state == runStopped || r.state == runStopping {
 		c.beginStop(r) // the new life knows nothing of the stop
-	case r.heldBy != nil:
-		c.stopStrayCopies(r)
-	default:
-		r.awaitsNewLife = true
+		return
 	}
-}
-
-// stopStrayCopies stops a run that the present life of its upstream does not have, while a copy of its start may still be carried out
-// there: the upstream rejects the copy then.
-func (c *Core) stopStrayCopies(r *run) {
-	r.awaitsNewLife = false
-	c.stopRun(r, "its upstream has started anew")
+	r.awaitsNewLife = true
 }
 
 // staleLeaseEnd returns the time by which the leases have expired that the next life of the upstream may have been granted: it may have
@@ -214,7 +208,7 @@
 		deadline = max(deadline, up.pollDeadline)
 	}
 	for _, r := range up.runs.all() {
-		if r.mayStillStart() {
+		if r.hasOpenCopies() {
 			deadline = max(deadline, r.startDeadline)
 		}
 		if r.startAnswered && r.heldBy != up.life {
@@ -252,7 +246,8 @@
 	return maxCommandTime + time.Duration(float64(lease)/minClockRate)
 }
 
-// newUpstream returns an upstream of which nothing but its entry is known.
-func newUpstream() *upstream {
-	return &upstream{life: &life{}, runs: newOrderedMap[job.TaskID, *run]()}
+// newUpstream returns an upstream of which nothing but its entry is known. This owner may have called it under the same ID before, with any
+// of its tokens. Its first poll bars the calls of earlier owners.
+func (c *Core) newUpstream() *upstream {
+	return &upstream{life: &life{isolated: true}, token: c.newestToken, runs: newOrderedMap[job.TaskID, *run]()}
 }
--- a/schedule/lifefleet_test.go
+++ b/schedule/lifefleet_test.go
@@ -34,6 +34,11 @@
 	// storeDelay is how long the store takes for the records that it gets from now on; storing: it has not confirmed the last ones.
 	storeDelay time.Duration
 	storing    bool
+	// isHeld decides which calls get no answer; the test has the upstream carry them out later. nil: none.
+	isHeld func(schedule.Call) bool
+	held   []schedule.Call
+	// noted are the tasks whose success was acknowledged after it was listed.
+	noted map[job.TaskID]bool
 }
 
 // life is one life of an upstream.
@@ -46,8 +51,28 @@
 	ended       []platform.EndedRun
 	seq         uint64 // of its last end
 	listed      uint64 // last end that an answer has listed
+	token       uint64 // highest that it has seen
+	// barred are the highest attempts that have been stopped or ended; nil: none.
+	barred map[job.TaskID]uint64
 }
 
+// bar has starts of a task rejected up to an attempt.
+func (l *life) bar(task job.TaskID, attempt uint64) {
+	if l.barred == nil {
+		l.barred = map[job.TaskID]uint64{}
+	}
+	l.barred[task] = max(l.barred[task], attempt)
+}
+
+// sees reports whether the life carries out a call with the token.
+func (l *life) sees(token uint64) bool {
+	isNew := token >= l.token
+	l.token = max(l.token, token)
+	return isNew
+}
+
+var rejectedFence = &platform.RejectedError{Reason: platform.RejectedFence}
+
 type lifeRun struct {
 	task    job.TaskID
 	attempt uint64
@@ -69,7 +94,7 @@
 func newLifeFleet(t *testing.T, ids ...string) *lifeFleet {
 	f := &lifeFleet{
 		harness: &harness{t: t, now: time.Hour}, lives: map[string]*life{}, cut: map[string]bool{}, noPoll: map[string]bool{},
-		lasts: map[job.ID]time.Duration{}, phases: map[job.ID]job.Phase{},
+		lasts: map[job.ID]time.Duration{}, phases: map[job.ID]job.Phase{}, noted: map[job.TaskID]bool{},
 	}
 	f.takeOver()
 	for _, id := range ids {
@@ -83,7 +108,7 @@
 func (f *lifeFleet) takeOver() {
 	f.generation++
 	f.core = schedule.New(schedule.Options{
-		Bounds: testBounds, Lease: testLease, Generation: f.generation - 1, Token: 6 + f.generation, Claimed: f.now,
+		Bounds: testBounds, Lease: testLease, Generation: f.generation - 1, Token: f.nextRevision(), Claimed: f.now,
 		Log: f.log, Observe: func(string, string, string, time.Duration) {},
 	})
 	f.advance(0)
@@ -173,17 +198,22 @@
 		f.phases[record.ID] = record.Progress.Phase
 	}
 	if f.storeDelay == 0 {
-		f.core.RecordsStored(batch.Number)
+		f.recordsStored(batch.Number)
 		return
 	}
 	f.storing = true
 	f.after(f.storeDelay, func() {
 		f.storing = false
-		f.core.RecordsStored(batch.Number)
+		f.recordsStored(batch.Number)
 	})
 }
 
 func (f *lifeFleet) answer(call schedule.Call) {
+	if f.isHeld != nil && f.isHeld(call) {
+		f.held = append(f.held, call)
+		f.after(callTimeout, func() { handleLostResponse(call)(&simOwner{core: f.core}) })
+		return
+	}
 	switch call := call.(type) {
 	case schedule.Start:
 		f.answerStart(call)
@@ -212,9 +242,25 @@
 	f.doDue()
 }
 
+// carryOut has the upstream's present life carry out a call that got no answer.
+func (f *lifeFleet) carryOut(held schedule.Call) {
+	switch call := held.(type) {
+	case schedule.Start:
+		_ = f.execute(call.Target.ID, f.lives[call.Target.ID], call) // nobody waits for the answer
+	case schedule.Poll:
+		f.carryOutPoll(f.lives[call.Target.ID], call)
+	}
+}
+
 // execute starts a run unless the call's deadline has passed or its ticket is of another life.
 func (f *lifeFleet) execute(id string, l *life, call schedule.Start) error {
 	command, clock := call.Command, l.clock(f.now)
+	if !l.sees(command.Token) {
+		return rejectedFence
+	}
+	if f.noted[command.Task] {
+		f.t.Errorf("%v TWICE: %s attempt %d on %s after its success was taken note of", f.now-time.Hour, command.Task, command.Attempt, id)
+	}
 	if command.DeadlineMS <= clock {
 		return &platform.RejectedError{Reason: platform.RejectedDeadlinePassed, ClockMS: clock}
 	}
@@ -222,6 +268,12 @@
 		return &platform.RejectedError{Reason: platform.RejectedTicket, ClockMS: clock}
 	}
 	l.extendLease(f.now, command.DeadlineMS)
+	if slices.ContainsFunc(l.running, func(r lifeRun) bool { return r.task == command.Task && r.attempt == command.Attempt }) {
+		return nil
+	}
+	if command.Attempt <= l.barred[command.Task] {
+		return &platform.RejectedError{Reason: platform.RejectedOldAttempt, ClockMS: clock}
+	}
 	for other, l := range f.lives {
 		if l.runs(command.Task) {
 			f.t.Errorf("%v TWICE: %s attempt %d on %s while it runs on %s", f.now-time.Hour, command.Task, command.Attempt, id, other)
@@ -242,8 +294,16 @@
 		return
 	}
 	l := f.lives[id]
+	f.core.HandleStopResult(call, l.clock(f.now), l.stop(call))
+}
+
+func (l *life) stop(call schedule.Stop) error {
+	if !l.sees(call.Command.Token) {
+		return rejectedFence
+	}
 	l.endRuns(platform.EndStopped, func(r lifeRun) bool { return r.task == call.Command.Task && r.attempt <= call.Command.Attempt })
-	f.core.HandleStopResult(call, l.clock(f.now), nil)
+	l.bar(call.Command.Task, call.Command.Attempt)
+	return nil
 }
 
 // receivePoll lets the upstream's current life receive a poll, and answers it at once or when the poll's wait is over.
@@ -254,11 +314,23 @@
 		return
 	}
 	l := f.lives[id]
+	if !f.carryOutPoll(l, call) {
+		f.core.HandlePollResult(call, platform.PollResult{}, rejectedFence)
+		return
+	}
+	f.awaitEnd(call, l, f.now)
+}
+
+// carryOutPoll extends the lease and acknowledges ends, unless the poll is fenced off.
+func (f *lifeFleet) carryOutPoll(l *life, call schedule.Poll) bool {
+	if !l.sees(call.Request.Token) {
+		return false
+	}
 	if call.Request.DeadlineMS > 0 {
 		l.extendLease(f.now, call.Request.DeadlineMS)
 	}
 	f.acknowledge(l, call.Request.AckedSeq)
-	f.awaitEnd(call, l, f.now)
+	return true
 }
 
 func (f *lifeFleet) losePoll(call schedule.Poll, after time.Duration) {
@@ -271,6 +343,7 @@
 		if l.ended[0].Seq > l.listed {
 			f.t.Errorf("%v end %d of %s (%s) was acknowledged unseen", f.now-time.Hour, l.ended[0].Seq, l.ended[0].Task, l.ended[0].Kind)
 		}
+		f.noted[l.ended[0].Task] = f.noted[l.ended[0].Task] || l.ended[0].Kind == platform.EndDone
 		l.ended = l.ended[1:]
 	}
 }
@@ -356,6 +429,7 @@
 			continue
 		}
 		l.seq++
+		l.bar(r.task, r.attempt)
 		l.ended = append(l.ended, platform.EndedRun{Seq: l.seq, Task: r.task, Attempt: r.attempt, Kind: kind})
 	}
 }
--- a/schedule/lifepolls_test.go
+++ b/schedule/lifepolls_test.go
@@ -120,12 +120,17 @@
 	h.core.HandlePollResult(next.polls[0], platform.PollResult{StartedMS: 200, ClockMS: 10}, nil)
 	h.advance(100 * time.Millisecond)
 	next = h.decide()
-	is.Equal(len(next.starts), 1)
 	is.True(!next.polls[0].NewConnection)
+	h.core.HandlePollResult(next.polls[0], platform.PollResult{StartedMS: 200, ClockMS: 110}, nil) // bars calls to the earlier one
+	next = h.decide()
+	is.Equal(len(next.starts), 1)
 	attempt := next.starts[0].Command.Attempt
 	h.core.HandleStartResult(next.starts[0], 110, nil)
+	h.advance(100 * time.Millisecond)
+	next = h.decide()
+	is.Equal(len(next.polls), 1)
 	ends = []platform.EndedRun{{Seq: 1, Task: job.TaskID{Job: id, Index: 1}, Attempt: attempt, Kind: platform.EndDone}}
-	h.core.HandlePollResult(next.polls[0], platform.PollResult{StartedMS: 200, ClockMS: 110, Ended: ends}, nil)
+	h.core.HandlePollResult(next.polls[0], platform.PollResult{StartedMS: 200, ClockMS: 210, Ended: ends}, nil)
 	h.advance(100 * time.Millisecond)
 	next = h.decide()
 	is.Equal(len(next.polls), 1)
--- a/schedule/livesim_test.go
+++ b/schedule/livesim_test.go
@@ -19,7 +19,7 @@
 // with short cuts, kills of the owner and a slow store; some upstreams are cut off for good right after.
 func TestHistoriesOfUnnoticedRestarts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if violation := runLives(t); violation != "" {
+		if violation := runLives(t, (*simulation).injectLifeEvent); violation != "" {
 			t.Fatal(violation)
 		}
 	})
@@ -59,11 +59,11 @@
 	maxSimLasting = 4
 )
 
-// runLives runs one history and returns the first violation of a rule; "": none.
-func runLives(t *rapid.T) string {
+// runLives runs one history of events and returns the first violation of a rule; "": none.
+func runLives(t *rapid.T, inject func(*simulation)) string {
 	sim := newLivesSimulation(t)
 	for range rapid.IntRange(1, 5).Draw(t, "events") {
-		sim.injectLifeEvent()
+		inject(sim)
 		sim.workOn(sim.delay("pause", 1500))
 	}
 	for sim.services.ongoing > 0 && sim.violation == "" {
@@ -385,6 +385,9 @@
 // needed a new connection, otherwise only the life to which its connection leads. A call that is not held up is refused, or is silent
 // until it times out.
 func (h *livesHistory) lose(sim *simulation, pending *pendingCall, u *simUpstream) {
+	if pending.told {
+		return
+	}
 	timeout := pending.sentAt + simTimeout(pending.call)
 	if again, ok := h.heldUntil(sim, pending, u); ok && again < timeout {
 		pending.at = again
@@ -410,7 +413,7 @@
 // heldUntil returns when a call that a cut holds up arrives, and whether there is one that does.
 func (h *livesHistory) heldUntil(sim *simulation, pending *pendingCall, u *simUpstream) (time.Duration, bool) {
 	cut := h.cuts[u.id]
-	if !u.unreachable || pending.waits || pending.targetStartedMS != 0 || pending.sentAt < cut.from {
+	if !u.unreachable || pending.waits || pending.late || pending.targetStartedMS != 0 || pending.sentAt < cut.from {
 		return 0, false
 	}
 	life := u.startedMS
@@ -436,7 +439,7 @@
 
 // isSentInVain reports whether a poll is sent on a connection to a life that has ended silently.
 func (h *livesHistory) isSentInVain(pending *pendingCall, u *simUpstream) bool {
-	if _, ok := pending.call.(schedule.Poll); !ok || h == nil || pending.targetStartedMS != 0 {
+	if _, ok := pending.call.(schedule.Poll); !ok || h == nil || pending.late || pending.targetStartedMS != 0 {
 		return false
 	}
 	return h.silentEnd[u.id] && pending.connection != 0 && pending.connection != u.startedMS
--- a/schedule/longlease_test.go
+++ b/schedule/longlease_test.go
@@ -36,7 +36,7 @@
 		}
 		batch := h.core.TakeRecords()
 		h.storeLongLeases(batch)
-		h.core.RecordsStored(batch.Number)
+		h.recordsStored(batch.Number)
 	}
 	return restartAt
 }
--- a/schedule/machinecommands_test.go
+++ b/schedule/machinecommands_test.go
@@ -62,7 +62,7 @@
 	}
 	batch := h.core.TakeRecords()
 	is.Equal(len(batch.CommandedMachines.Moves), 2)
-	h.core.RecordsStored(batch.Number)
+	h.recordsStored(batch.Number)
 	n := 0
 	for _, call := range h.core.Decide() {
 		if _, ok := call.(schedule.Move); ok {
@@ -94,7 +94,7 @@
 			if batch.CommandedMachines != nil {
 				stored = *batch.CommandedMachines
 			}
-			h.core.RecordsStored(batch.Number)
+			h.recordsStored(batch.Number)
 		}
 	}
 	is.Equal(moves, 2)
@@ -149,7 +149,7 @@
 	is.True(h.core.HasCallsAwaitingRecords())
 	h.core.SetWaves(nil, nil)
 	h.advance(10 * time.Second)
-	h.core.RecordsStored(h.core.TakeRecords().Number)
+	h.recordsStored(h.core.TakeRecords().Number)
 	for _, call := range h.core.Decide() {
 		if _, ok := call.(schedule.Upkeep); ok {
 			t.Fatal("command sent for a wave that was withdrawn")
--- a/schedule/outages_test.go
+++ b/schedule/outages_test.go
@@ -156,8 +156,9 @@
 	}
 }
 
+// loseCalls has some calls get no answer for a time, and some of these carried out late.
 func (sim *simulation) loseCalls() {
-	if !sim.outages.limits.lossy {
+	if sim.outages != nil && !sim.outages.limits.lossy {
 		return
 	}
 	sim.services.lossy++
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -72,6 +72,6 @@
 	r.commandInFlight = true
 	r.up.nextPaceChange = c.now + minPaceInterval
 	c.calls = append(c.calls, Pace{Target: r.up.target(), meant: c.meantFor(r.up), Command: platform.PaceCommand{
-		Task: r.id(), Attempt: r.attempt, Percent: percent, Token: c.Token,
+		Task: r.id(), Attempt: r.attempt, Percent: percent, Token: r.up.token,
 	}})
 }
--- a/schedule/pending_test.go
+++ b/schedule/pending_test.go
@@ -19,7 +19,7 @@
 		return 0, false
 	}
 	batch := h.core.TakeRecords()
-	h.core.RecordsStored(batch.Number)
+	h.recordsStored(batch.Number)
 	if len(batch.Jobs) == 0 {
 		return 0, false
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -205,7 +205,7 @@
 
 // isReadyButForDrain is isReady, whether or not the upstream is drained for an upkeep or a move.
 func (c *Core) isReadyButForDrain(up *upstream) bool {
-	return up.listed && up.fenced && !up.inDoubt && up.stored && !up.terminated && !up.Draining && up.failedPolls == 0 && up.unknownRuns == 0 &&
+	return up.listed && up.fenced && up.isolated && !up.inDoubt && up.stored && !up.terminated && !up.Draining && up.failedPolls == 0 && up.unknownRuns == 0 &&
 		!c.evacuated[up.Zone] && c.mayExtendLease(up)
 }
 
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -30,7 +30,8 @@
 		up.pollSeq++
 		up.polledAt = c.now
 		up.pollDeadline = 0
-		request := platform.PollRequest{Token: c.Token, AckedSeq: c.ackToSend(up)}
+		c.raiseToken(up)
+		request := platform.PollRequest{Token: up.token, AckedSeq: c.ackToSend(up)}
 		// A poll does not extend the lease of an upstream that does not answer, because its runs have to end at a
 		// known time.
 		if up.runs.len() > 0 && up.fenced && up.failedPolls == 0 && c.mayExtendLease(up) {
@@ -63,7 +64,7 @@
 
 func (c *Core) needsPoll(up *upstream) bool {
 	switch {
-	case !up.fenced || up.inDoubt:
+	case !up.fenced || up.inDoubt || c.awaitsBar(up):
 		return up.listed || up.stored
 	case up.runs.len() > 0 || up.unknownRuns > 0 || up.moreEnds || up.pollWhenIdle:
 		return true
@@ -103,7 +104,7 @@
 	up.polling = false
 	c.fencingEnded(up)
 	if err != nil {
-		c.pollFailed(up, err)
+		c.pollFailed(up, poll, err)
 		return
 	}
 	if up.terminated {
@@ -119,6 +120,7 @@
 	if result.MalformedRows > 0 {
 		c.Log("unreadable rows in an upstream's lists", "upstream", up.ID, "rows", result.MalformedRows)
 	}
+	c.noteBarred(up, poll.Request.Token)
 	c.noteAlive(up)
 	first := !up.fenced
 	if first {
@@ -135,10 +137,10 @@
 		up.ackConfirmed = max(up.ackConfirmed, poll.Request.AckedSeq)
 	}
 	c.handleEnds(up, result.Ended)
-	c.handleRunning(up, result.Running, poll.seq)
+	c.handleRunning(up, result.Running, poll)
 	c.noteStoredLife(up)
 	if first {
-		c.Log("upstream fenced", "upstream", up.ID, "token", c.Token, "born", up.StartedMS, "clock_ms", result.ClockMS, "running", len(result.Running),
+		c.Log("upstream fenced", "upstream", up.ID, "token", poll.Request.Token, "born", up.StartedMS, "clock_ms", result.ClockMS, "running", len(result.Running),
 			"ended", len(result.Ended))
 	}
 }
@@ -174,13 +176,13 @@
 	up.inherited = false
 }
 
-func (c *Core) pollFailed(up *upstream, err error) {
+func (c *Core) pollFailed(up *upstream, poll Poll, err error) {
 	var rejected *platform.RejectedError
 	if errors.As(err, &rejected) {
 		switch rejected.Reason {
 		case platform.RejectedFence:
 			c.superseded = true
-			c.Log("superseded by another owner", "upstream", up.ID, "token", c.Token)
+			c.Log("superseded by another owner", "upstream", up.ID, "token", poll.Request.Token)
 			return
 		case platform.RejectedOtherInstance:
 			c.handleReplaced(up)
@@ -230,7 +232,7 @@
 
 // handleRunning compares an upstream's running list with the known runs. Runs that are not listed are left alone while
 // there may be more ends.
-func (c *Core) handleRunning(up *upstream, running []platform.CurrentRun, seq uint64) {
+func (c *Core) handleRunning(up *upstream, running []platform.CurrentRun, poll Poll) {
 	up.unknownRuns = 0
 	for _, row := range running {
 		r := up.runs.get(row.Task)
@@ -240,15 +242,18 @@
 		if r == nil {
 			continue
 		}
-		r.updateFromList(c, row, seq)
+		r.updateFromList(c, row, poll.seq)
 	}
 	if up.moreEnds {
 		return
 	}
 	for _, r := range up.runs.all() {
-		if r.lastListed == seq || r.pollSeqAtReturn >= seq || r.state == runPlanned {
-			continue
+		switch {
+		case r.lastListed == poll.seq || r.state == runPlanned:
+		case r.isBarred(poll.Request.Token):
+			c.handleNeverBegun(r)
+		case r.pollSeqAtReturn < poll.seq:
+			c.handleUnlisted(r)
 		}
-		c.handleUnlisted(r)
 	}
 }
--- a/schedule/polls_test.go
+++ b/schedule/polls_test.go
@@ -37,7 +37,7 @@
 		h.advance(50 * time.Millisecond)
 		is.Equal(len(callsOf[schedule.Poll](h.core.Decide())), 0) // the end is not stored yet
 	}
-	h.core.RecordsStored(h.core.TakeRecords().Number)
+	h.recordsStored(h.core.TakeRecords().Number)
 	polls := callsOf[schedule.Poll](h.core.Decide())
 	is.Equal(len(polls), 1)
 	is.Equal(polls[0].Request.AckedSeq, uint64(1))
--- a/schedule/reconcile.go
+++ b/schedule/reconcile.go
@@ -28,12 +28,8 @@
 	if r.state == runStopped || r.state == runRunning {
 		c.applyCharge(r)
 	}
-	if r.awaitsNewLife && r.startInFlight {
-		return // the new life may be about to carry it out
-	}
 	if r.awaitsNewLife && r.mayStillStart() {
-		c.stopStrayCopies(r)
-		return
+		return // the new life may carry it out until it is barred
 	}
 	switch r.state {
 	case runStopped:
@@ -46,6 +42,21 @@
 	}
 }
 
+// handleNeverBegun handles a run that is missing from a response, and that the upstream can't begin any more.
+func (c *Core) handleNeverBegun(r *run) {
+	if r.startInFlight {
+		return // it returns soon; a still later life may carry it out until then
+	}
+	c.applyCharge(r)
+	c.detach(r)
+	if r.heldBy == nil && !r.startAnswered {
+		c.requeue(r, "its start was barred", "")
+		return
+	}
+	c.Log("run missing from the list of its upstream", "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID)
+	c.requeue(r, "not listed any more", r.checkpoint)
+}
+
 // adopt adds a run that this owner did not start, and stops it if it is not wanted.
 func (c *Core) adopt(up *upstream, row platform.CurrentRun) *run {
 	p, index := c.findTask(row.Task)
@@ -86,7 +97,7 @@
 	up.unknownRuns++
 	c.Log("stop", "task", row.Task.String(), "attempt", row.Attempt, "upstream", up.ID, "reason", "its job is not known")
 	c.calls = append(c.calls, Stop{Target: up.target(), meant: c.meantFor(up), Command: platform.StopCommand{
-		Task: row.Task, Attempt: row.Attempt, Token: c.Token,
+		Task: row.Task, Attempt: row.Attempt, Token: up.token,
 	}})
 }
 
--- a/schedule/restart_test.go
+++ b/schedule/restart_test.go
@@ -143,12 +143,13 @@
 func TestLateAnswerToAStopSaysNothingOfTheNextIncarnation(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, entries("u-1", "u-2", "u-3")...)
-	f.drops, f.losesAnswers = true, 1
+	f.drops, f.losesAnswers = true, 2
 	id := f.addJob(1, lasting(1, 1000))
 	f.live(100 * time.Millisecond)
 	f.drops = false
-	f.restart("u-1")
-	f.live(50 * time.Millisecond) // a poll does not list the run
+	f.live(500 * time.Millisecond) // the second copy of the start is carried out, the first one may still be
+	is.Equal(len(f.running["u-1"]), 1)
+	f.drain("u-1")
 	var stops []schedule.Stop
 	for _, call := range f.core.Decide() {
 		if stop, ok := call.(schedule.Stop); ok {
--- a/schedule/reviewed_test.go
+++ b/schedule/reviewed_test.go
@@ -37,7 +37,7 @@
 			}
 			f.answer(call)
 		}
-		f.core.RecordsStored(f.core.TakeRecords().Number)
+		f.recordsStored(f.core.TakeRecords().Number)
 	}
 	return issued
 }
@@ -179,7 +179,7 @@
 				h.core.HandlePollResult(call, platform.PollResult{ClockMS: clockMS, StartedMS: started, Running: running}, nil)
 			}
 		}
-		h.core.RecordsStored(h.core.TakeRecords().Number)
+		h.recordsStored(h.core.TakeRecords().Number)
 		switch {
 		case late != nil && !restarted:
 			restarted = true
@@ -355,7 +355,7 @@
 				h.core.HandlePollResult(call, platform.PollResult{ClockMS: clockMS, StartedMS: started, Running: running}, nil)
 			}
 		}
-		h.core.RecordsStored(h.core.TakeRecords().Number)
+		h.recordsStored(h.core.TakeRecords().Number)
 		switch {
 		case late != nil && !restarted:
 			restarted = true
@@ -401,7 +401,7 @@
 	h.inheritJob("0000000000000001", lasting(1, 1000), progress)
 	for end := h.now + d; h.now < end; h.advance(50 * time.Millisecond) {
 		calls := h.core.Decide()
-		h.core.RecordsStored(h.core.TakeRecords().Number)
+		h.recordsStored(h.core.TakeRecords().Number)
 		calls = append(calls, h.core.Decide()...)
 		if len(callsOf[schedule.Start](calls)) > 0 {
 			onStart()
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -53,6 +53,7 @@
 	awaitsNewLife bool          // its upstream has started anew, and no poll has shown yet whether the new life has the run
 	heldBy        *life         // the life of its upstream that has listed it; nil: none has
 	startDeadline int64         // latest deadline of its copies, on the clock of the life for which they were meant
+	startToken    uint64        // highest token of its copies
 	charge        *charge       // for the loss of its upstream, not counted yet; nil: none
 	answeredAt    time.Duration // when a copy of the start was answered with success; 0: none was
 	answerClockMS int64         // the upstream's clock in that answer
@@ -74,9 +75,12 @@
 
 func (r *run) task() *task { return &r.part.tasks[r.index] }
 
-// mayStillStart reports whether a copy of the run's start may still be carried out: one that is in flight or got no answer, and
-// is not known to be the one that the upstream has carried out, as its list shows.
-func (r *run) mayStillStart() bool {
+// mayStillStart reports whether a copy of the run's start may still be carried out by the known life of its upstream.
+func (r *run) mayStillStart() bool { return r.hasOpenCopies() && !r.isBarred(r.up.barredBelow) }
+
+// hasOpenCopies reports whether a copy of the run's start may still be carried out, by whichever life: one that is in flight or got no
+// answer, and is not known to be the one that the upstream has carried out, as its list shows.
+func (r *run) hasOpenCopies() bool {
 	copies := r.lostStarts
 	if r.startInFlight {
 		copies++
@@ -171,10 +175,10 @@
 func (c *Core) sendStart(r *run, ticket string) {
 	r.commandInFlight, r.startInFlight = true, true
 	r.state, r.sentAt = runStarting, c.now
-	r.startDeadline = c.extendLease(r.up)
+	r.startDeadline, r.startToken = c.extendLease(r.up), r.up.token
 	c.window.inFlight++
 	c.calls = append(c.calls, Start{meant: c.meantFor(r.up), Target: r.up.target(), Command: platform.StartCommand{
-		Task: r.id(), Attempt: r.attempt, Spec: r.part.job.Spec, DeadlineMS: r.startDeadline, Token: c.Token,
+		Task: r.id(), Attempt: r.attempt, Spec: r.part.job.Spec, DeadlineMS: r.startDeadline, Token: r.startToken,
 		Checkpoint: r.checkpoint, Ticket: ticket,
 	}})
 }
@@ -271,7 +275,7 @@
 func (c *Core) sendStop(r *run) {
 	r.commandInFlight = true
 	c.calls = append(c.calls, Stop{Target: r.up.target(), meant: c.meantFor(r.up), Command: platform.StopCommand{
-		Task: r.id(), Attempt: r.attempt, Token: c.Token,
+		Task: r.id(), Attempt: r.attempt, Token: r.up.token,
 	}})
 }
 
@@ -354,7 +358,7 @@
 			r.state = runRunning
 		}
 	case errors.As(err, &rejected):
-		c.startRejected(r, rejected)
+		c.startRejected(r, start, rejected)
 	case errors.Is(err, platform.ErrConnectionsBusy) && r.lostStarts > 0 && r.state == runStarting:
 		c.startUnanswered(r, err) // the upstream is not at fault, and an earlier copy may have been carried out
 	case errors.Is(err, platform.ErrNotExecuted):
@@ -393,13 +397,13 @@
 }
 
 // startRejected handles a start that the upstream rejected, so that the run does not exist there.
-func (c *Core) startRejected(r *run, rejected *platform.RejectedError) {
+func (c *Core) startRejected(r *run, start Start, rejected *platform.RejectedError) {
 	c.stats.RejectedStarts++
 	c.Log("start refused", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID,
 		"reason", rejected.Reason, "clock_age_ms", c.msSince(r.up.clock.readAt))
 	switch rejected.Reason {
 	case platform.RejectedFence:
-		c.superseded = true
+		c.superseded = c.superseded || !r.up.isOwnFence(start.Command.Token)
 	case platform.RejectedOtherInstance:
 		c.handleReplaced(r.up)
 		return
@@ -446,7 +450,7 @@
 		r.state, r.stoppedAt = runStopped, c.now
 	case isStopped: // another life has answered
 		r.scheduleRetry(c.now)
-	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedFence:
+	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedFence && !r.up.isOwnFence(stop.Command.Token):
 		c.superseded = true
 	case errors.As(err, &rejected) && rejected.Reason == platform.RejectedOtherInstance:
 		c.handleReplaced(r.up)
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -36,12 +36,14 @@
 	faultsEnded    bool
 	lateCall       bool // the call being executed was delayed by its upstream
 	starts         int
-	skippedOwner   bool            // there was an owner since the last one that ended before it had read its state
-	storeDown      bool            // it turns all calls of the owner away
-	maxEnds        int             // number of ends that an upstream lists at a time
-	outages        *outageHistory  // nil: none
-	services       *serviceHistory // nil: faults are drawn for each call, and are known to the owner at once
-	lives          *livesHistory   // nil: entries of new lives are known at once, and all clocks begin with the same value
+	skippedOwner   bool // there was an owner since the last one that ended before it had read its state
+	storeDown      bool // it turns all calls of the owner away
+	// storeTroubledAt is when the store was last down or slow.
+	storeTroubledAt time.Duration
+	maxEnds         int             // number of ends that an upstream lists at a time
+	outages         *outageHistory  // nil: none
+	services        *serviceHistory // nil: faults are drawn for each call, and are known to the owner at once
+	lives           *livesHistory   // nil: entries of new lives are known at once, and all clocks begin with the same value
 }
 
 // storedJob is the state of a job in the store.
@@ -78,7 +80,9 @@
 	sentAt          time.Duration
 	connection      int64         // of a poll, the life to which its connection leads; 0: it is new
 	at              time.Duration // when it is executed
-	targetStartedMS int64         // start time of its upstream, for a delayed call that a restart drops; 0: any
+	targetStartedMS int64         // start time of its upstream, for a call that a restart drops; 0: any
+	late            bool          // its upstream has received it and carries it out later, even after it has started anew
+	sentTo          int64         // start time of the life that has received a late call
 	responseLost    bool
 	told            bool            // its owner learns elsewhere that it got no answer
 	waits           bool            // a poll that its upstream has received and holds back
@@ -125,6 +129,9 @@
 	case schedule.Poll:
 		u := sim.upstream(call.Target.ID)
 		result, err := u.poll(sim, call, sim.lives.cursor(pending, u))
+		if err == nil && !pending.late {
+			u.notePolled(sim)
+		}
 		return func(o *simOwner) { o.core.HandlePollResult(call, result, err) }
 	}
 	return func(*simOwner) {}
@@ -249,9 +256,9 @@
 			case 0:
 				pending.responseLost = true
 			case 1:
-				pending.responseLost = true
+				pending.responseLost, pending.late = true, true
 				pending.at += sim.delay("late", 12_000)
-				pending.targetStartedMS = sim.upstream(targetOf(call)).startedMS
+				pending.sentTo = sim.upstream(targetOf(call)).startedMS
 				sim.tellLater(pending)
 			}
 		}
@@ -305,8 +312,10 @@
 				slices.ContainsFunc(roster.Added, func(added platform.Upstream) bool { return added.ID == entry.ID })
 		})
 		sim.roster = append(sim.roster, roster.Added...)
+		sim.revision++
 		if !o.dead {
 			o.storing = false
+			o.core.SetNewestWrite(sim.revision)
 			o.core.RosterStored(roster)
 			o.core.RecordsStored(batch.Number)
 		}
@@ -325,6 +334,9 @@
 		if sim.owner != nil && !sim.owner.dead && sim.now < sim.owner.leaseEnd && !sim.storeDown {
 			sim.owner.leaseEnd = sim.now + ownerLeaseTTL // lease renewal
 		}
+		if sim.storeDown || sim.lives.writeLag() > 0 {
+			sim.storeTroubledAt = sim.now
+		}
 		sim.executeDueCalls()
 		sim.decide()
 		if sim.services != nil {
@@ -355,9 +367,9 @@
 		sim.historyOf(start.Command.Task).calledTo = u.id
 	}
 	deliver, answered := handleLostResponse(pending.call), false
-	reached := !u.unreachable && !u.dead && !sim.lives.isSentInVain(pending, u)
+	reached := !u.unreachable && !u.dead && !sim.lives.isSentInVain(pending, u) && !sim.isTooEarlyForLife(pending, u)
 	if reached && (pending.targetStartedMS == 0 || pending.targetStartedMS == u.startedMS) {
-		sim.lateCall = pending.targetStartedMS != 0 && !pending.waits
+		sim.lateCall = pending.late
 		if sim.lateCall && sim.services != nil {
 			sim.services.disturbedAt = sim.now
 		}
--- a/schedule/simupstream_test.go
+++ b/schedule/simupstream_test.go
@@ -34,6 +34,8 @@
 	unlisted      bool          // it has no entry in the store
 	labels        []string      // nil: the usual ones
 	crashedBy     job.TaskID    // the task that has crashed it, until it has returned
+	polledBy      *simOwner     // the last owner whose poll this life has answered; nil: none
+	polledAt      time.Duration // when that owner's first poll of this life was answered
 }
 
 type simRun struct {
@@ -56,6 +58,27 @@
 	u.startedMS, u.startedAt, u.token, u.deadline, u.clockAtStart = startedMS, sim.now, 0, 0, simClockAtStart
 	u.running, u.endedAttempts, u.ends, u.seq = map[job.TaskID]*simRun{}, map[job.TaskID]uint64{}, nil, 0
 	u.dead, u.returnsAt, u.crashedBy, u.acked = false, 0, job.TaskID{}, 0
+	u.polledBy, u.polledAt = nil, 0
+}
+
+// notePolled notes that the present owner's poll was answered.
+func (u *simUpstream) notePolled(sim *simulation) {
+	if u.polledBy != sim.owner {
+		u.polledBy, u.polledAt = sim.owner, sim.now
+	}
+}
+
+// simFenceTime is how long after its first answer an owner has fenced a new life, if the store is well.
+const simFenceTime = 300 * time.Millisecond
+
+// isTooEarlyForLife reports whether a late call that an earlier life has received would be carried out by a life that the owner has not
+// had the time to fence. No owner can prevent what it does there, so such calls are not played.
+func (sim *simulation) isTooEarlyForLife(pending *pendingCall, u *simUpstream) bool {
+	if !pending.late || pending.sentTo == u.startedMS {
+		return false
+	}
+	isFenced := u.polledBy != nil && u.polledBy == sim.owner && sim.now >= max(u.polledAt, sim.storeTroubledAt)+simFenceTime
+	return !isFenced
 }
 
 // simClockAtStart is what the clock of a life shows at its start unless the history draws it.
--- a/schedule/sizing_test.go
+++ b/schedule/sizing_test.go
@@ -31,7 +31,7 @@
 		}
 		if h.core.HasUnstoredRecords() {
 			batch := h.core.TakeRecords().Number
-			h.core.RecordsStored(batch)
+			h.recordsStored(batch)
 		}
 		h.answerAll(c, running)
 	}
--- a/schedule/trials_test.go
+++ b/schedule/trials_test.go
@@ -52,7 +52,7 @@
 				f.noteStart(start)
 			}
 		}
-		f.core.RecordsStored(f.core.TakeRecords().Number)
+		f.recordsStored(f.core.TakeRecords().Number)
 	}
 }
 
--- a/schedule/unreached_test.go
+++ b/schedule/unreached_test.go
@@ -27,7 +27,7 @@
 		calls := h.core.Decide()
 		if h.core.HasUnstoredRecords() {
 			batch := h.core.TakeRecords()
-			h.core.RecordsStored(batch.Number)
+			h.recordsStored(batch.Number)
 			h.storeLongLeases(batch)
 			if batch.Unreached != nil {
 				record = *batch.Unreached
@@ -87,7 +87,7 @@
 	batch := h.core.TakeRecords()
 	is.True(batch.Unreached != nil)
 	is.Equal(len(batch.Unreached.LeaseLeftMS), 0)
-	h.core.RecordsStored(batch.Number)
+	h.recordsStored(batch.Number)
 	h.advance(100 * time.Millisecond)
 	polls := callsOf[schedule.Poll](h.core.Decide())
 	is.True(len(polls) > 0)
--- a/schedule/waitmoment_test.go
+++ b/schedule/waitmoment_test.go
@@ -24,7 +24,7 @@
 			}
 			f.answer(call)
 		}
-		f.core.RecordsStored(f.core.TakeRecords().Number)
+		f.recordsStored(f.core.TakeRecords().Number)
 	}
 }
 
--- a/testbed/fleet/lanes_test.go
+++ b/testbed/fleet/lanes_test.go
@@ -80,3 +80,26 @@
 		is.Equal(store.Value(laneKey(0)), nil)
 	}
 }
+
+// Guards against a token of an owner that is not below the next owner's (TWICE): upstreams would go on to carry out the calls of the owner
+// before. And against one that does not rise with its writes, so that calls to an earlier life of an upstream can't be barred.
+func TestNewestRevisionIsBetweenTheClaims(t *testing.T) {
+	is := is.New(t)
+	store, kv, l := newLedger(t)
+	store.SetFaults(fleet.StoreFaults{DropNthResponse: 3})
+	owner, err := claim(t, kv, l, "edge-1", "p1")
+	is.NoErr(err)
+	is.Equal(owner.NewestRevision(), owner.Token)
+	newest := owner.Token
+	for range 4 {
+		is.NoErr(owner.StoreAll(t.Context(), jobWrites(job.Active), 4))
+		is.True(owner.NewestRevision() > newest)
+		newest = owner.NewestRevision()
+		is.NoErr(owner.Store(t.Context(), ledger.Write{RemoveKeys: []string{laneKey(0)}}))
+		is.True(owner.NewestRevision() > newest)
+		newest = owner.NewestRevision()
+	}
+	next, err := claim(t, kv, l, "edge-1", "p2")
+	is.NoErr(err)
+	is.True(next.Token > newest)
+}
