schedule: a start that gets no answer is barred, not stopped (AVAIL)

What callers would see: a long-running task at work is stopped while others of its step are away, and work is thrown away.

Cause: when three copies of a start had got no answer, the run was stopped. If a copy of the start was carried out late in between, the stop that was sent again ended the run that had just begun. The owner took the task for away, so it did not ask whether the step may miss one more.

Change: the owner bars the copies with a poll that has a higher token (schedule/fence.go). The response lists the run, which is kept, or does not, and then no copy can be carried out any more: the task starts again at once. Nothing is stopped. The same for a start that was rejected while an earlier copy got no answer.

Evidence: TestRunOfAnUnansweredStartIsNotStopped failed on (the run that a late copy had begun was ended) and passes.

--- a/schedule/fence.go
+++ b/schedule/fence.go
@@ -4,7 +4,8 @@
 // out seconds later, by whichever life is there then. But it does nothing for a lower fencing token than the highest that it has seen. So
 // a poll with a higher token than all calls that were sent there before bars these: what the response does not list cannot begin there any
 // more, and none of them ends a run, acknowledges an end or extends a lease. Each life that follows a restart is isolated like this
-// before tasks are started there.
+// before tasks are started there, and a start that gets no answer is barred rather than stopped, since a stop ends the run if the start was
+// carried out.
 //
 // Any revision at which this owner has stored something is a token of its own: a write succeeds only while the ownership lasts, so that the
 // revision of the next claim, the first token of the next owner, is higher.
@@ -53,5 +54,14 @@
 // isBarred reports whether no copy of the run's start can be carried out by an upstream that has seen the token.
 func (r *run) isBarred(token uint64) bool { return r.startToken < token }
 
+// barStart requests that the copies of a run's start are barred that got no answer. A poll then shows whether the run has begun.
+func (c *Core) barStart(r *run) {
+	if r.up.barUpTo < r.startToken {
+		c.Log("start barred", "job", r.part.job.ID, "task", r.id().String(), "attempt", r.attempt, "upstream", r.up.ID,
+			"copies_without_answer", r.lostStarts, "sent_ms_ago", c.msSince(r.sentAt))
+		c.bar(r.up)
+	}
+}
+
 // isOwnFence reports whether the upstream rejected a call because it has seen a higher token of this owner.
 func (u *upstream) isOwnFence(token uint64) bool { return token < u.token }
--- a/schedule/latecalls_test.go
+++ b/schedule/latecalls_test.go
@@ -93,3 +93,29 @@
 		})
 	}
 }
+
+// Guards against AVAIL, and work that is thrown away: no copy of a start gets an answer, one is carried out seconds later, and a stop that
+// is sent again ends its run. The task is started again once no copy can be carried out any more, or the run is kept.
+func TestRunOfAnUnansweredStartIsNotStopped(t *testing.T) {
+	for name, later := range map[string]time.Duration{"soon": 4 * time.Second, "late": 7200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newLifeFleet(t, "u-1")
+			stops := 0
+			f.isHeld = func(call schedule.Call) bool {
+				if _, ok := call.(schedule.Stop); ok {
+					stops++
+					return stops == 1
+				}
+				start, ok := call.(schedule.Start)
+				return ok && start.Command.Attempt == 1
+			}
+			id := f.addLasting(1)
+			f.live(later)
+			f.carryOut(f.held[2]) // the last copy, whose deadline has not passed
+			f.live(4 * time.Second)
+			is.Equal(f.runsOf(id), 1)
+			is.Equal(f.lives["u-1"].seq, uint64(0)) // no run has ended
+		})
+	}
+}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -302,8 +302,8 @@
 			case !c.mayExtendLease(r.up): // which a start would
 			case r.unanswered < maxStartAttempts && !r.up.isOverCapacity():
 				c.sendStart(r, c.ticketFor(r.part, r.up))
-			case r.up.answeredSeq > r.pollSeqAtReturn:
-				c.stopRun(r, "its start got no answer")
+			default:
+				c.barStart(r)
 			}
 		case runStopping:
 			c.sendStop(r)
@@ -424,16 +424,25 @@
 }
 
 // startNotExecuted handles a start that had no effect. If an earlier copy was not answered, that copy may still be
-// carried out; the run is then stopped, after which the upstream rejects every copy of the start.
+// carried out; all copies are then barred.
 func (c *Core) startNotExecuted(r *run, reason string) {
 	if r.lostStarts > 0 {
-		c.stopRun(r, reason+", and an earlier copy got no answer")
+		c.stopCopying(r)
 		return
 	}
 	c.detach(r)
 	c.requeueUnstarted(r, reason, "")
 }
 
+// stopCopying has no more copies of a start sent, but those barred that got no answer.
+func (c *Core) stopCopying(r *run) {
+	if r.state != runStarting && r.state != runUnknown {
+		return // a stop or a list has resolved it, or will
+	}
+	r.state, r.unanswered, r.retryAt = runUnknown, maxStartAttempts, c.now
+	c.unresolvedRuns.set(r, struct{}{})
+}
+
 // invalidStartDelay is how long a task waits after an upstream rejected its start as invalid.
 const invalidStartDelay = 2 * time.Second
 
