schedule: a lease that a late call to the earlier life may have granted is allowed for (TWICE)

What callers would see: a task runs twice at the same time.

Cause: such a poll, or a start, can reach the next life before the barring poll does. It extends that life's lease up to the platform's longest. The owner allowed for polls that were in flight when it learned of the restart only. A poll that had been given up before was forgotten. If the new life was cut off soon after, its tasks were started elsewhere while they ran on there.

Change: the latest deadline of calls without an answer is remembered. When the new life is isolated, its clock in that response tells how long such a lease can last, at most the platform's longest from then on. After that response no such call has an effect, so the bound does not grow. Calls that were given up more than 30 s before are not counted.

Evidence: TestLeaseAllowsForALatePollToTheEarlierLife failed before (two tasks on two upstreams at once, 9.4 s and 9.8 s into the test) and passes.

--- a/schedule/fence.go
+++ b/schedule/fence.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "time"
+
 // An upstream that starts anew under its ID takes calls that were meant for its life before, and a call without an answer may be carried
 // out seconds later, by whichever life is there then. But it does nothing for a lower fencing token than the highest that it has seen. So
 // a poll with a higher token than all calls that were sent there before bars these: what the response does not list cannot begin there any
@@ -10,6 +12,9 @@
 // Any revision at which this owner has stored something is a token of its own: a write succeeds only while the ownership lasts, so that the
 // revision of the next claim, the first token of the next owner, is higher.
 
+// maxLateness is the longest time after which a call without an answer is still carried out; the protocol says seconds.
+const maxLateness = 30 * time.Second
+
 // SetNewestWrite records the revision of a confirmed write of this owner.
 func (c *Core) SetNewestWrite(revision uint64) { c.newestToken = max(c.newestToken, revision) }
 
@@ -37,8 +42,9 @@
 	}
 }
 
-// noteBarred records that the known life has answered a poll with the given token, so that it carries out no call with a lower one.
-func (c *Core) noteBarred(up *upstream, token uint64) {
+// noteBarred records that the known life has answered a poll with the given token, so that it carries out no call with a lower one. Its
+// clock is in the response.
+func (c *Core) noteBarred(up *upstream, token uint64, clockMS int64) {
 	up.barredBelow = max(up.barredBelow, token)
 	if up.barUpTo == 0 || token <= up.barUpTo {
 		return
@@ -46,11 +52,30 @@
 	up.barUpTo = 0
 	if !up.isolated {
 		up.isolated = true
+		c.allowForLostCalls(up, clockMS)
 		c.Log("upstream isolated from calls to earlier lives", "upstream", up.ID, "born", up.StartedMS, "token", token,
 			"restarted_ms_ago", c.msSince(up.restartedAt))
 	}
 }
 
+// noteLost records the lease deadline in a call without an answer; 0: it has none.
+func (c *Core) noteLost(up *upstream, deadlineMS int64) {
+	if deadlineMS > 0 {
+		up.lostDeadline, up.lostAt = max(up.lostDeadline, deadlineMS), c.now
+	}
+}
+
+// allowForLostCalls allows for the lease that the known life may have been granted, before it was isolated, by calls to the earlier one
+// that got no answer.
+func (c *Core) allowForLostCalls(up *upstream, clockMS int64) {
+	left := min(time.Duration(up.lostDeadline-clockMS)*time.Millisecond, c.Bounds.MaxLease)
+	up.lostDeadline = 0
+	if left > 0 && c.now < up.lostAt+maxLateness {
+		up.minLeaseEnd = max(up.minLeaseEnd, c.now+time.Duration(float64(left)/minClockRate)+leaseSlack)
+		c.noteLongLease(up)
+	}
+}
+
 // isBarred reports whether no copy of the run's start can be carried out by an upstream that has seen the token.
 func (r *run) isBarred(token uint64) bool { return r.startToken < token }
 
--- a/schedule/latecalls_test.go
+++ b/schedule/latecalls_test.go
@@ -119,3 +119,28 @@
 		})
 	}
 }
+
+// Guards against TWICE: a poll that got no answer is carried out by the next life of its upstream, before calls to the earlier one are barred
+// there, and extends its lease. The upstream is cut off, and the owner takes its tasks for ended too early.
+func TestLeaseAllowsForALatePollToTheEarlierLife(t *testing.T) {
+	is := is.New(t)
+	f := newLifeFleet(t, "u-1")
+	f.addLasting(1)
+	f.live(time.Second)
+	holdFirst(f, func(poll schedule.Poll) bool { return poll.Request.DeadlineMS > 0 })
+	f.live(1100 * time.Millisecond)
+	is.Equal(len(f.held), 1)
+	f.restartUnnoticed("u-1", laterBorn, -firstClock)
+	f.noPoll["u-1"] = true
+	f.live(1600 * time.Millisecond) // the poll is given up
+	f.carryOut(f.held[0])
+	f.noPoll["u-1"] = false
+	f.deliverEntry("u-1", laterBorn)
+	id := f.addLasting(2)
+	f.live(300 * time.Millisecond)
+	is.Equal(f.runsOn("u-1", id), 1)
+	f.cut["u-1"] = true
+	f.add("u-2")
+	f.live(15 * time.Second)
+	is.Equal(f.runsOn("u-2", id), 1)
+}
--- a/schedule/life.go
+++ b/schedule/life.go
@@ -114,6 +114,7 @@
 func (c *Core) abandonPoll(up *upstream) {
 	if up.polling {
 		up.strayDeadline = max(up.strayDeadline, up.pollDeadline)
+		c.noteLost(up, up.pollDeadline)
 		up.pollSeq++ // the response is not handled
 	}
 	c.fencingEnded(up)
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -120,7 +120,7 @@
 	if result.MalformedRows > 0 {
 		c.Log("unreadable rows in an upstream's lists", "upstream", up.ID, "rows", result.MalformedRows)
 	}
-	c.noteBarred(up, poll.Request.Token)
+	c.noteBarred(up, poll.Request.Token, result.ClockMS)
 	c.noteAlive(up)
 	first := !up.fenced
 	if first {
@@ -190,6 +190,7 @@
 		}
 	}
 	up.failedPolls++
+	c.noteLost(up, poll.Request.DeadlineMS)
 	up.noteUnanswered(c.now)
 	if up.failedPolls == 1 {
 		c.Log("upstream does not answer", "upstream", up.ID, "error", err.Error(), "runs", up.runs.len(),
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -366,6 +366,7 @@
 		c.startNotExecuted(r, "start was not sent")
 	default:
 		r.lostStarts++
+		c.noteLost(r.up, start.Command.DeadlineMS)
 		c.startUnanswered(r, err)
 	}
 }
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -43,8 +43,12 @@
 	// minLeaseEnd is the earliest time by which the lease can be known to have expired, whatever maxDeadline is.
 	minLeaseEnd time.Duration
 
-	token          uint64 // the highest in calls of this owner
-	barUpTo        uint64 // calls with tokens up to this one are to be barred; 0: none
+	token   uint64 // the highest in calls of this owner
+	barUpTo uint64 // calls with tokens up to this one are to be barred; 0: none
+	// lostDeadline is the latest lease deadline in calls without an answer that a later life may carry out before it is isolated, and lostAt
+	// when the last of them was given up.
+	lostDeadline   int64
+	lostAt         time.Duration
 	fencing        bool   // the poll in flight is counted in Core.fencing
 	pollSeq        uint64 // of the last poll that was sent
 	answeredSeq    uint64 // of the last poll that was answered
