schedule: a poll that bars calls does not wait for an end

What callers would see: tasks wait for 1.0 to 1.7 s after a restart of an upstream.

Change: such a poll asks for no wait. TestBarringPollIsAnsweredAtOnce failed before (wait 1 s).

--- a/cmd/citrongauge/restarted_upstream_test.go
+++ b/cmd/citrongauge/restarted_upstream_test.go
@@ -26,12 +26,26 @@
 // RESTART_KEEP_LOGS=1 keeps the daemons' logs of all seeds.
 func TestRestartedUpstreamRunsNoTaskTwice(t *testing.T) {
 	t.Parallel()
+	forRestartSeeds(t, func(restartRun) {})
+}
+
+// TestLateCallRunsNoTaskTwice guards, as TestRestartedUpstreamRunsNoTaskTwice does and with its variables, against a task that runs twice
+// because some calls get no answer and are carried out up to 4 s later, by the life that the upstream has then: starts of runs that have
+// ended, and polls that acknowledge ends of an earlier life.
+func TestLateCallRunsNoTaskTwice(t *testing.T) {
+	t.Parallel()
+	forRestartSeeds(t, restartRun.delayCalls)
+}
+
+// forRestartSeeds runs series of restarts under load, after the given faults have been added.
+func forRestartSeeds(t *testing.T, addFaults func(restartRun)) {
 	for seed := range intFromEnvironment("RESTART_SEEDS", ciRestartSeeds) {
 		seed += intFromEnvironment("RESTART_FROM", 1)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			s := restartRun{&longRunning{soakRun: newSoak(t, uint64(seed), 2, 0)}}
 			interval := s.chooseLoad()
+			addFaults(s)
 			s.submitLongRunning(firstLongJob, 4, `,"anti_affinity":1`)
 			s.underLoad(interval, func() {
 				time.Sleep(time.Second)
@@ -60,6 +74,17 @@
 	return interval
 }
 
+// delayCalls has each upstream give no answer to some calls, and carry them out later.
+func (s restartRun) delayCalls() {
+	nth := 4 + s.rng.IntN(12)
+	for _, u := range s.fleet.Upstreams {
+		faults := u.Faults()
+		faults.LateNthCall, faults.LateBy = nth, s.between(600, 4000)
+		u.SetFaults(faults)
+	}
+	s.t.Logf("each %dth call is carried out late", nth)
+}
+
 // restartSeries restarts one to three upstreams, or one of them more than once, and waits until all are registered.
 func (s restartRun) restartSeries() {
 	for range 1 + s.rng.IntN(3) {
--- a/schedule/fence_test.go
+++ b/schedule/fence_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"citrongauge.example/citrongauge/job"
 	"citrongauge.example/citrongauge/platform"
 	"citrongauge.example/citrongauge/schedule"
 )
@@ -68,3 +69,19 @@
 	is.Equal(len(polls), 1)
 	is.True(polls[0].Request.Token >= poll.Request.Token)
 }
+
+// Guards against tasks that wait for a second after each restart: the poll that bars calls to the earlier life waits for an end, since the
+// new life has a run.
+func TestBarringPollIsAnsweredAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newLifeHarness(t)
+	id := h.addJob(1, lasting(1, 1000))
+	next := h.decide()
+	run := platform.CurrentRun{Task: job.TaskID{Job: id}, Attempt: next.starts[0].Command.Attempt}
+	h.core.HandleStartResult(next.starts[0], 20, nil) // the new life's clock
+	h.core.HandlePollResult(h.decide().polls[0], platform.PollResult{StartedMS: 200, ClockMS: 30, Running: []platform.CurrentRun{run}}, nil)
+	h.advance(50 * time.Millisecond)
+	polls := h.decide().polls
+	is.Equal(len(polls), 1)
+	is.Equal(polls[0].Request.Wait, time.Duration(0))
+}
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -44,6 +44,9 @@
 			if up.isHeld(c.now) {
 				request.Wait = min(request.Wait, probation)
 			}
+			if up.barUpTo > 0 {
+				request.Wait = 0 // starts wait for the response
+			}
 		}
 		c.stats.Polls++
 		c.calls = append(c.calls, Poll{
--- a/testbed/fleet/upstream.go
+++ b/testbed/fleet/upstream.go
@@ -54,7 +54,9 @@
 	changed         chan struct{}
 	history         []*Run
 	faults          UpstreamFaults
-	starts          int // accepted starts, counted for DropNthResponse
+	starts          int       // accepted starts, counted for DropNthResponse
+	calls           int       // counted for LateNthCall
+	polledAt        time.Time // when this life was first polled; zero: it has not been
 }
 
 // UpstreamFaults are faults that an Upstream injects. The zero value is no fault.
@@ -63,7 +65,16 @@
 	DropNthResponse int           // drops the response to each nth accepted start; 0 for none
 	FailAll         bool          // tasks fail when their time is over
 	ExtraDuration   time.Duration // added to TaskDuration
-	OnCall          func()        // called at each call
+	LateNthCall     int           // gives each nth call no answer and carries it out LateBy later, in whichever life; 0 for none
+	LateBy          time.Duration
+	OnCall          func() // called at each call
+}
+
+// Faults returns the injected faults.
+func (u *Upstream) Faults() UpstreamFaults {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.faults
 }
 
 // runEnd is the end of a run, which is listed in responses to polls until it is acknowledged.
@@ -181,7 +192,7 @@
 	u.life++
 	u.down = false
 	u.startedAt, u.bornMS, u.firstClockMS = time.Now(), born.UnixMilli(), firstClockMS
-	u.fencingToken, u.leaseDeadlineMS, u.lastSeq, u.ends = 0, 0, 0, nil
+	u.fencingToken, u.leaseDeadlineMS, u.lastSeq, u.ends, u.polledAt = 0, 0, 0, nil, time.Time{}
 	clear(u.highestEnded)
 }
 
@@ -301,7 +312,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	switch strings.TrimPrefix(r.URL.Path, "/-/") {
+	name := strings.TrimPrefix(r.URL.Path, "/-/")
+	if u.holdsBack(name, body, life) {
+		<-r.Context().Done()
+		return
+	}
+	switch name {
 	case "run-start":
 		u.startRun(w, body, life)
 	case "run-stop":
@@ -337,6 +353,19 @@
 func (u *Upstream) startRun(w http.ResponseWriter, body requestBody, life int) {
 	u.lockLife(life)
 	defer u.mu.Unlock()
+	begun := len(u.history)
+	u.beginRun(w, body)
+	if len(u.history) == begun {
+		return
+	}
+	u.starts++
+	if u.faults.DropNthResponse > 0 && u.starts%u.faults.DropNthResponse == 0 {
+		panic(http.ErrAbortHandler) // closes the connection after the start without a response
+	}
+}
+
+// beginRun begins a run, or answers why it does not. The caller must hold the lock.
+func (u *Upstream) beginRun(w http.ResponseWriter, body requestBody) {
 	if u.rejectStaleToken(w, body.Token) {
 		return
 	}
@@ -357,16 +386,17 @@
 	r := &Run{Task: body.Task, Attempt: body.Attempt, Spec: body.Spec, Upstream: u.ID, Begin: time.Now()}
 	u.running[body.Task] = r
 	u.history = append(u.history, r)
-	u.starts++
-	if u.faults.DropNthResponse > 0 && u.starts%u.faults.DropNthResponse == 0 {
-		panic(http.ErrAbortHandler) // closes the connection after the start without a response
-	}
 	writeJSON(w, map[string]any{"clock_ms": u.clockMS()})
 }
 
 func (u *Upstream) stopRun(w http.ResponseWriter, body requestBody, life int) {
 	u.lockLife(life)
 	defer u.mu.Unlock()
+	u.stop(w, body)
+}
+
+// stop ends a run and bars its start. The caller must hold the lock.
+func (u *Upstream) stop(w http.ResponseWriter, body requestBody) {
 	if u.rejectStaleToken(w, body.Token) {
 		return
 	}
@@ -387,11 +417,10 @@
 			u.mu.Unlock()
 			return
 		}
-		u.extendLease(body.DeadlineMS)
-		for len(u.ends) > 0 && u.ends[0].seq <= body.AckCursor {
-			u.ends[0].run.Acknowledged = !u.ends[0].leaseExpired
-			u.ends = u.ends[1:]
+		if u.polledAt.IsZero() {
+			u.polledAt = time.Now()
 		}
+		u.takePoll(body)
 		changed := u.changed
 		if len(u.ends) > 0 || body.WaitMS == 0 {
 			u.writeRunLists(w)
@@ -409,6 +438,15 @@
 	}
 }
 
+// takePoll extends the lease and discards acknowledged ends. The caller must hold the lock.
+func (u *Upstream) takePoll(body requestBody) {
+	u.extendLease(body.DeadlineMS)
+	for len(u.ends) > 0 && u.ends[0].seq <= body.AckCursor {
+		u.ends[0].run.Acknowledged = !u.ends[0].leaseExpired
+		u.ends = u.ends[1:]
+	}
+}
+
 // writeRunLists writes the lists of running tasks and of unacknowledged ends. Their elements are decoded by
 // platform.UpstreamClient: [task, attempt, checkpoint, percent, gauge] and [sequence, task, attempt, kind, checkpoint].
 // The caller must hold the lock.
