--- /dev/null
+++ b/schedule/lifetakeover_test.go
@@ -0,0 +1,95 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citrongauge.example/citrongauge/job"
+)
+
+// Lives that the roster of an earlier owner lacks.
+
+// inherit gives a new owner a roster in which u-1 has the given life, and a job with a long-running task that was placed there.
+func (f *lifeFleet) inherit(rosterBorn int64) job.ID {
+	return f.inheritStep(rosterBorn, lasting(1, 1000))
+}
+
+func (f *lifeFleet) inheritStep(rosterBorn int64, step job.Step) job.ID {
+	entry := upstreamEntry("u-1", 16000)
+	entry.StartedMS = rosterBorn
+	f.core.InheritUpstream(entry)
+	f.core.InheritLongLeases(f.longLeases)
+	progress := job.Progress{Phase: job.Active, Parts: []job.PartProgress{{}}}
+	progress.Parts[0].RecordPlacement(0, "u-1")
+	id := job.ID("0000000000000001")
+	f.inheritJob(id, step, progress)
+	return id
+}
+
+// runUnseen lets u-1's life run the task of inherit, with the longest lease.
+func (f *lifeFleet) runUnseen(id job.ID) {
+	l := f.lives["u-1"]
+	l.running = []lifeRun{{task: job.TaskID{Job: id}, attempt: 1}}
+	l.extendLease(f.now, l.clock(f.now)+testBounds.MaxLease.Milliseconds())
+}
+
+// Guards as above, after a takeover with the higher born in the roster, whatever the entry says.
+func TestLifeWithLowerBornIsFollowedAfterATakeover(t *testing.T) {
+	for name, entryBorn := range map[string]int64{"old entry": firstBorn, "new entry": earlierBorn} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newLifeFleet(t)
+			f.begin("u-1", earlierBorn, 1000)
+			f.takeOver()
+			id := f.inherit(firstBorn)
+			f.deliverEntry("u-1", entryBorn)
+			f.add("u-2")
+			f.runUnseen(id)
+			f.live(3 * time.Second)
+			is.Equal(f.runsOn("u-1", id), 1)
+			is.Equal(f.runsOf(id), 1)
+			f.cut["u-2"] = true
+			f.core.UnlistUpstream("u-2")
+			f.checkFollowed(is)
+		})
+	}
+}
+
+// Guards against TWICE: the roster of a new owner has an earlier life of an upstream than its entry, so that the earlier owner may
+// have started tasks on the new life with a deadline of the earlier clock, up to the platform's longest lease.
+func TestNewOwnerAllowsForTheLongestLeaseOfALifeThatTheRosterLacks(t *testing.T) {
+	step := lasting(1, 1000)
+	step.LongRunning = false
+	checkNewOwnerAllowsForTheLongestLease(t, step)
+}
+
+// Guards as above, for a long-running task. It is not to be without a run for as long as the longest lease
+// (TestHandoverDoesNotProlongTheWaitForALease, with processes), so that one of both tests fails.
+func TestNewOwnerAllowsForTheLongestLeaseOfALongRunningTask(t *testing.T) {
+	checkNewOwnerAllowsForTheLongestLease(t, lasting(1, 1000))
+}
+
+func checkNewOwnerAllowsForTheLongestLease(t *testing.T, step job.Step) {
+	t.Helper()
+	for name, born := range map[string]int64{"later born": laterBorn, "earlier born": earlierBorn} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newLifeFleet(t)
+			f.begin("u-1", born, 1000)
+			f.takeOver()
+			claimed := f.now
+			id := f.inheritStep(firstBorn, step)
+			f.deliverEntry("u-1", born)
+			f.add("u-2")
+			f.runUnseen(id)
+			f.cut["u-1"] = true
+			for f.runsOn("u-2", id) == 0 && f.now < claimed+20*time.Second {
+				f.live(lifeStep)
+			}
+			is.Equal(f.runsOn("u-2", id), 1)
+			is.True(f.now < claimed+testBounds.MaxLease+3*time.Second)
+		})
+	}
+}
