schedule: the test of an upstream that is back has a token above the claim's

It passed with a new upstream's first token set to the claim's, since nothing was stored before the restart. It now fails then.

--- a/schedule/fence_test.go
+++ b/schedule/fence_test.go
@@ -58,8 +58,10 @@
 func TestUpstreamThatIsBackIsCalledWithTheNewestToken(t *testing.T) {
 	is := is.New(t)
 	h := newLifeHarness(t)
+	h.recordsStored(h.core.TakeRecords().Number)
 	h.setLife(200)
 	poll := h.decide().polls[0]
+	is.True(poll.Request.Token > 1)
 	h.core.HandlePollResult(poll, platform.PollResult{StartedMS: 200, ClockMS: 10}, nil)
 	h.core.UnlistUpstream("u-1")
 	h.advance(time.Second)
