schedule: a restarted upstream is used, and a barred start ends, without another wait

What callers would see: tasks wait for up to 0.4 s longer after a restart, or for one more poll; a long-running task at work is stopped.

The report of a waiting task counts upstreams that are not isolated by themselves.

--- a/schedule/absent.go
+++ b/schedule/absent.go
@@ -109,6 +109,8 @@
 		return "not reached"
 	case up.inDoubt:
 		return "in doubt"
+	case !up.isolated:
+		return "not isolated"
 	case up.Draining || c.evacuated[up.Zone]:
 		return "draining"
 	case up.unknownRuns > 0:
--- a/schedule/commandresults.go
+++ b/schedule/commandresults.go
@@ -125,23 +125,19 @@
 }
 
 // startNotExecuted handles a start that had no effect. If an earlier copy was not answered, that copy may still be
-// carried out; all copies are then barred.
+// carried out: no more copies are sent then, and all are barred.
 func (c *Core) startNotExecuted(r *run, reason string) {
-	if r.lostStarts > 0 {
-		c.stopCopying(r)
-		return
-	}
-	c.detach(r)
-	c.requeueUnstarted(r, reason, "")
-}
-
-// stopCopying has no more copies of a start sent, but those barred that got no answer.
-func (c *Core) stopCopying(r *run) {
-	if r.state != runStarting && r.state != runUnknown {
-		return // a stop or a list has resolved it, or will
+	isOpen := r.lostStarts > 0 && !r.isBarred(r.up.barredBelow)
+	switch {
+	case r.lostStarts > 0 && r.state != runStarting && r.state != runUnknown:
+		// a list has shown the run, or a stop or a list will show what became of it
+	case isOpen:
+		r.state, r.unanswered, r.retryAt = runUnknown, maxStartAttempts, c.now
+		c.unresolvedRuns.set(r, struct{}{})
+	default:
+		c.detach(r)
+		c.requeueUnstarted(r, reason, "")
 	}
-	r.state, r.unanswered, r.retryAt = runUnknown, maxStartAttempts, c.now
-	c.unresolvedRuns.set(r, struct{}{})
 }
 
 // invalidStartDelay is how long a task waits after an upstream rejected its start as invalid.
--- a/schedule/fence_test.go
+++ b/schedule/fence_test.go
@@ -87,3 +87,77 @@
 	is.Equal(len(polls), 1)
 	is.Equal(polls[0].Request.Wait, time.Duration(0))
 }
+
+// Guards against tasks that wait for 0.4 s after a restart: the response that shows the new life lists an end, and the next poll waits until
+// that is stored, though it is the one that bars calls to the earlier life.
+func TestBarringPollDoesNotWaitForTheStore(t *testing.T) {
+	is := is.New(t)
+	h := newLifeHarness(t)
+	id := h.addUniformJob(1, 1, 1000)
+	next := h.decide()
+	h.core.HandleStartResult(next.starts[0], 20, nil) // the new life's clock
+	end := platform.EndedRun{Seq: 1, Task: job.TaskID{Job: id}, Attempt: next.starts[0].Command.Attempt, Kind: platform.EndDone}
+	h.core.HandlePollResult(h.decide().polls[0], platform.PollResult{StartedMS: 200, ClockMS: 30, Ended: []platform.EndedRun{end}}, nil)
+	h.advance(50 * time.Millisecond)
+	is.Equal(len(callsOf[schedule.Poll](h.core.Decide())), 1)
+}
+
+// Guards against tasks that wait after a takeover: the upstream has started anew since the roster was stored, and is polled twice although
+// the first poll has barred all calls of earlier owners, and this one has sent none.
+func TestFirstPollOfANewOwnerIsolatesALife(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	entry := upstreamEntry("u-1", 16000)
+	h.core.InheritUpstream(entry)
+	h.setLife(200)
+	h.core.HandlePollResult(h.decide().polls[0], platform.PollResult{StartedMS: 200, ClockMS: 10}, nil)
+	h.addUniformJob(1, 1, 1000)
+	h.advance(50 * time.Millisecond)
+	is.Equal(len(h.decide().starts), 1)
+}
+
+// Guards against a task that waits for another poll although the last one has shown that no copy of its start can be carried out any more:
+// one copy got no answer, and the other one was rejected after that poll.
+func TestRejectedCopyOfABarredStartEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	h := newLifeHarness(t)
+	h.addUniformJob(1, 1, 1000)
+	first := h.decide()
+	h.core.HandleStartResult(first.starts[0], 0, lostStart)
+	h.advance(300 * time.Millisecond)
+	second := h.decide()
+	is.Equal(len(second.starts), 1)
+	h.core.HandlePollResult(append(first.polls, second.polls...)[0], platform.PollResult{StartedMS: 200, ClockMS: 10}, nil)
+	h.advance(50 * time.Millisecond)
+	h.core.HandlePollResult(h.decide().polls[0], platform.PollResult{StartedMS: 200, ClockMS: 60}, nil)
+	h.core.HandleStartResult(second.starts[0], 70, rejectedFence)
+	starts := h.decide().starts
+	is.Equal(len(starts), 1)
+	is.True(starts[0].Command.Attempt > first.starts[0].Command.Attempt)
+}
+
+// Guards against a run at work that is given up (AVAIL): a copy of its start was carried out without an answer, a poll has listed the run, and
+// another copy is rejected.
+func TestRejectedCopyDoesNotEndAListedRun(t *testing.T) {
+	is := is.New(t)
+	h := newLifeHarness(t)
+	id := h.addJob(1, lasting(1, 1000))
+	first := h.decide()
+	h.core.HandleStartResult(first.starts[0], 0, lostStart)
+	h.advance(300 * time.Millisecond)
+	second := h.decide()
+	run := platform.CurrentRun{Task: job.TaskID{Job: id}, Attempt: first.starts[0].Command.Attempt, Percent: 100}
+	polls := append(first.polls, second.polls...)
+	h.core.HandlePollResult(polls[0], platform.PollResult{StartedMS: 100, ClockMS: 51_300, Running: []platform.CurrentRun{run}}, nil)
+	h.core.HandleStartResult(second.starts[0], 51_300, &platform.RejectedError{Reason: platform.RejectedUnhealthy, ClockMS: 51_300})
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+		next := h.decide()
+		is.Equal(len(next.stops)+len(next.starts), 0)
+		for _, poll := range next.polls {
+			h.core.HandlePollResult(poll, platform.PollResult{
+				StartedMS: 100, ClockMS: 51_300 + (h.now - time.Hour - 1300*time.Millisecond).Milliseconds(), Running: []platform.CurrentRun{run},
+			}, nil)
+		}
+	}
+}
--- a/schedule/life.go
+++ b/schedule/life.go
@@ -144,6 +144,7 @@
 	c.prepareCharges(up, true)
 	up.minLeaseEnd = max(up.minLeaseEnd, up.nextLeaseEnd, c.staleLeaseEnd(up))
 	c.noteUnknownToRoster(up)
+	isCalled := up.pollSeq > 0 // nothing is sent before the first poll
 	c.abandonPoll(up)
 	var lost, unproved []*run
 	for _, r := range up.runs.all() {
@@ -161,8 +162,10 @@
 	up.timeJumped = up.timeJumped || startedMS < up.StartedMS
 	up.noteEnded(up.StartedMS)
 	up.noteNotEnded(startedMS)
-	up.StartedMS, up.life = startedMS, &life{reconnect: true}
-	c.bar(up)
+	up.StartedMS, up.life = startedMS, &life{reconnect: true, isolated: !isCalled}
+	if isCalled {
+		c.bar(up)
+	}
 	for _, r := range unproved {
 		c.keepOverRestart(r)
 	}
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -59,7 +59,7 @@
 // pollDue returns the earliest time of the next poll. An upstream answers a poll at once while it lists ends that are
 // not acknowledged, so the next poll waits until they can be acknowledged, but at most for unstoredPollInterval.
 func (u *upstream) pollDue() time.Duration {
-	if len(u.pendingAcks) > 0 && u.failedPolls == 0 && !u.inDoubt && !u.ackWithheld {
+	if len(u.pendingAcks) > 0 && u.failedPolls == 0 && !u.inDoubt && !u.ackWithheld && u.barUpTo == 0 {
 		return max(u.nextPoll, u.lastResponseAt+unstoredPollInterval)
 	}
 	return u.nextPoll
