schedule: a new owner allows for a lease that a life which the roster lacks may have (TWICE)

What callers would see: a task runs twice at the same time. An upstream starts anew, its owner is killed, the next one reaches it and starts a task there, and then it is cut off.

A call of the earlier owner to the life before, in flight at the restart or late, extends the new life's lease up to the platform's longest. The next owner allowed for that only while it had not reached the upstream.

Change: when a new owner first reaches a life that the stored roster lacks, it takes the lease there for the platform's longest from then on. Its first poll has barred all calls of earlier owners.

What remains: a restart that the earlier owner knew and stored. Its record of long leases names upstreams with runs only.

--- a/schedule/fence.go
+++ b/schedule/fence.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// allowForEarlierOwner allows for the lease that a life which the earlier owner's roster lacks may have been granted, before this owner has
+// fenced it, by that owner's calls to the life before.
+func (c *Core) allowForEarlierOwner(up *upstream) {
+	up.minLeaseEnd = max(up.minLeaseEnd, c.now+time.Duration(float64(c.Bounds.MaxLease)/minClockRate)+leaseSlack)
+	c.noteLongLease(up)
+}
+
 // isBarred reports whether no copy of the run's start can be carried out by an upstream that has seen the token.
 func (r *run) isBarred(token uint64) bool { return r.startToken < token }
 
--- a/schedule/lifetakeover_test.go
+++ b/schedule/lifetakeover_test.go
@@ -93,3 +93,25 @@
 		})
 	}
 }
+
+// Guards against TWICE: a call of the earlier owner to the life that the roster has was carried out by the next life, and has extended its lease.
+// The new owner reaches that life and starts a task there; then the upstream is cut off (TestHistoriesOfRestarts, seed 664131).
+func TestNewOwnerAllowsForALeaseGrantedToALifeThatTheRosterLacks(t *testing.T) {
+	is := is.New(t)
+	f := newLifeFleet(t)
+	f.begin("u-1", laterBorn, 1000)
+	f.takeOver()
+	entry := upstreamEntry("u-1", 16000)
+	entry.StartedMS = firstBorn
+	f.core.InheritUpstream(entry)
+	f.deliverEntry("u-1", laterBorn)
+	l := f.lives["u-1"]
+	l.extendLease(f.now, l.clock(f.now)+testBounds.MaxLease.Milliseconds())
+	id := f.addLasting(1)
+	f.live(500 * time.Millisecond)
+	is.Equal(f.runsOn("u-1", id), 1)
+	f.cut["u-1"] = true
+	f.add("u-2")
+	f.live(15 * time.Second)
+	is.Equal(f.runsOn("u-2", id), 1)
+}
--- a/schedule/polls.go
+++ b/schedule/polls.go
@@ -172,6 +172,9 @@
 // updates.
 func (c *Core) noteStoredLife(up *upstream) {
 	if up.StartedMS != up.storedStartMS {
+		if up.inherited {
+			c.allowForEarlierOwner(up)
+		}
 		c.countUnseenCrash(up)
 		up.storedStartMS = up.StartedMS
 		c.roster.set(up.ID, up)
