schedule: a rejected copy of a start does not end the run that the barring poll has listed (TWICE)

What callers would see: a task runs twice at the same time.

That poll may have listed the run, begun by an earlier copy, while the last copy was in flight.

Change: a run that the known life has listed is kept. TestRejectedCopyDoesNotEndARunThatTheBarringPollListed failed before.

--- a/schedule/commandresults.go
+++ b/schedule/commandresults.go
@@ -127,11 +127,13 @@
 // startNotExecuted handles a start that had no effect. If an earlier copy was not answered, that copy may still be
 // carried out: no more copies are sent then, and all are barred.
 func (c *Core) startNotExecuted(r *run, reason string) {
-	isOpen := r.lostStarts > 0 && !r.isBarred(r.up.barredBelow)
+	isResolved := r.state != runStarting && r.state != runUnknown
 	switch {
-	case r.lostStarts > 0 && r.state != runStarting && r.state != runUnknown:
-		// a list has shown the run, or a stop or a list will show what became of it
-	case isOpen:
+	case r.heldBy == r.up.life && !isResolved:
+		r.state = runRunning // a list has shown that an earlier copy was carried out
+	case r.heldBy == r.up.life || r.lostStarts > 0 && isResolved:
+		// its list, or that of a later poll, shows what becomes of it
+	case r.lostStarts > 0 && !r.isBarred(r.up.barredBelow):
 		r.state, r.unanswered, r.retryAt = runUnknown, maxStartAttempts, c.now
 		c.unresolvedRuns.set(r, struct{}{})
 	default:
--- a/schedule/fence_test.go
+++ b/schedule/fence_test.go
@@ -161,3 +161,25 @@
 		}
 	}
 }
+
+// Guards against TWICE: the barring poll has listed the run, which the copy without an answer had begun, and the copy that was in flight then is
+// rejected (TestLateCallRunsNoTaskTwice, seeds 7 and 11, once each).
+func TestRejectedCopyDoesNotEndARunThatTheBarringPollListed(t *testing.T) {
+	is := is.New(t)
+	h := newLifeHarness(t)
+	id := h.addUniformJob(1, 1, 1000)
+	first := h.decide()
+	h.core.HandleStartResult(first.starts[0], 0, lostStart)
+	h.advance(300 * time.Millisecond)
+	second := h.decide()
+	h.core.HandlePollResult(append(first.polls, second.polls...)[0], platform.PollResult{StartedMS: 200, ClockMS: 10}, nil)
+	h.advance(50 * time.Millisecond)
+	run := platform.CurrentRun{Task: job.TaskID{Job: id}, Attempt: first.starts[0].Command.Attempt}
+	h.core.HandlePollResult(h.decide().polls[0], platform.PollResult{StartedMS: 200, ClockMS: 60, Running: []platform.CurrentRun{run}}, nil)
+	h.core.HandleStartResult(second.starts[0], 70, rejectedFence)
+	for range 10 {
+		h.advance(100 * time.Millisecond)
+		next := h.decide()
+		is.Equal(len(next.starts)+len(next.stops), 0)
+	}
+}
