schedule: an upstream is not left out because a late call may have extended its lease

What callers would see: after a restart an upstream takes no tasks for 5 s while others have room.

Cause: the lease that a late call may have granted, which allows for, counted as one that a call in flight at the restart may have granted; upstreams with such a lease are chosen last. Here a poll that had been given up just before the restart was known.

Change: it has a field of its own, which is waited for but does not rank the upstream last: few late calls hit the time between the start of a life and its isolation.

--- a/schedule/fence.go
+++ b/schedule/fence.go
@@ -71,18 +71,20 @@
 	left := min(time.Duration(up.lostDeadline-clockMS)*time.Millisecond, c.Bounds.MaxLease)
 	up.lostDeadline = 0
 	if left > 0 && c.now < up.lostAt+maxLateness {
-		up.minLeaseEnd = max(up.minLeaseEnd, c.now+time.Duration(float64(left)/minClockRate)+leaseSlack)
-		c.noteLongLease(up)
+		c.allowForLateLease(up, left)
 	}
 }
 
-// allowForEarlierOwner allows for the lease that a life which the earlier owner's roster lacks may have been granted, before this owner has
-// fenced it, by that owner's calls to the life before.
-func (c *Core) allowForEarlierOwner(up *upstream) {
-	up.minLeaseEnd = max(up.minLeaseEnd, c.now+time.Duration(float64(c.Bounds.MaxLease)/minClockRate)+leaseSlack)
+// allowForLateLease allows for a lease that lasts for the given time from now on, by the upstream's clock.
+func (c *Core) allowForLateLease(up *upstream, left time.Duration) {
+	up.lateLeaseEnd = max(up.lateLeaseEnd, c.now+time.Duration(float64(left)/minClockRate)+leaseSlack)
 	c.noteLongLease(up)
 }
 
+// allowForEarlierOwner allows for the lease that a life which the earlier owner's roster lacks may have been granted, before this owner has
+// fenced it, by that owner's calls to the life before.
+func (c *Core) allowForEarlierOwner(up *upstream) { c.allowForLateLease(up, c.Bounds.MaxLease) }
+
 // isBarred reports whether no copy of the run's start can be carried out by an upstream that has seen the token.
 func (r *run) isBarred(token uint64) bool { return r.startToken < token }
 
--- a/schedule/fence_test.go
+++ b/schedule/fence_test.go
@@ -183,3 +183,38 @@
 		is.Equal(len(next.starts)+len(next.stops), 0)
 	}
 }
+
+// Guards against upstreams that are left out for seconds after each restart, while others have room: a poll to the earlier life got no answer
+// and may have extended the new life's lease (TestUpstreamWithALowerBornIsUsed failed in 4 of 7 runs).
+func TestLostPollDoesNotKeepTasksOffTheNextLife(t *testing.T) {
+	is := is.New(t)
+	h := newLifeHarness(t)
+	h.addJob(1, lasting(1, 1000))
+	next := h.decide()
+	h.core.HandleStartResult(next.starts[0], 51_000, nil)
+	poll := append(next.polls, h.decide().polls...)[0]
+	is.True(poll.Request.DeadlineMS > 0)
+	h.core.HandlePollResult(poll, platform.PollResult{}, lostStart)
+	h.setLife(200)
+	h.core.HandlePollResult(h.decide().polls[0], platform.PollResult{StartedMS: 200, ClockMS: 10}, nil)
+	start := h.decide().starts[0] // on u-1 again
+	h.core.HandleStartResult(start, 10, nil)
+	h.addUpstream("u-2")
+	run := platform.CurrentRun{Task: start.Command.Task, Attempt: start.Command.Attempt, Percent: 100}
+	begin := h.now
+	for range 10 { // the task outlives its probation
+		for _, poll := range h.decide().polls {
+			if poll.Target.ID == "u-2" {
+				h.answerPoll(poll, platform.PollResult{})
+				continue
+			}
+			clock := 10 + (h.now - begin).Milliseconds()
+			h.core.HandlePollResult(poll, platform.PollResult{StartedMS: 200, ClockMS: clock, Running: []platform.CurrentRun{run}}, nil)
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	h.addUniformJob(2, 1, 1000)
+	starts := h.decide().starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Target.ID, "u-1") // the fuller one
+}
--- a/schedule/longleases.go
+++ b/schedule/longleases.go
@@ -42,7 +42,7 @@
 // at least for a half of a lease.
 func (c *Core) hasLongLease(up *upstream) bool {
 	mayRun := up.runs.len() > 0 || !up.reconciled
-	isLong := max(up.minLeaseEnd, up.nextLeaseEnd) > c.now+c.Lease/2 || up.earlierLeaseEnd > c.now+inheritedLease(c.Lease)
+	isLong := max(up.minLeaseEnd, up.lateLeaseEnd, up.nextLeaseEnd) > c.now+c.Lease/2 || up.earlierLeaseEnd > c.now+inheritedLease(c.Lease)
 	return mayRun && !up.terminated && isLong
 }
 
--- a/schedule/upstreams.go
+++ b/schedule/upstreams.go
@@ -42,6 +42,9 @@
 	unknownLifeLeaseEnd time.Duration
 	// minLeaseEnd is the earliest time by which the lease can be known to have expired, whatever maxDeadline is.
 	minLeaseEnd time.Duration
+	// lateLeaseEnd is the time by which the lease has expired that a late call to an earlier life may have granted before the known life was
+	// isolated. Few calls do, so tasks do not avoid the upstream until then.
+	lateLeaseEnd time.Duration
 
 	token   uint64 // the highest in calls of this owner
 	barUpTo uint64 // calls with tokens up to this one are to be barred; 0: none
@@ -111,7 +114,7 @@
 
 // knownLeaseEnd is lastLeaseEnd without the leases that only a next life may have.
 func (u *upstream) knownLeaseEnd() time.Duration {
-	return max(u.earlierLeaseEnd, u.minLeaseEnd, u.leaseEnd())
+	return max(u.earlierLeaseEnd, u.minLeaseEnd, u.lateLeaseEnd, u.leaseEnd())
 }
 
 // advanceAck allows the acknowledgement of the ends whose batches are stored; durable is the last stored batch.
