--- a/review/standins-3/rig.go
+++ b/review/standins-3/rig.go
@@ -491,3 +491,21 @@
 	fmt.Println("held")
 	os.Exit(0)
 }
+
+// owner returns the host whose log says last that it owns the fleet.
+func (r *rig) owner() *host {
+	var owner *host
+	newest := ""
+	for _, h := range r.hosts {
+		text, err := os.ReadFile(h.log)
+		must(err)
+		for _, line := range strings.Split(string(text), "\n") {
+			if strings.Contains(line, `"msg":"state loaded"`) {
+				if at := line[:min(len(line), 40)]; at > newest {
+					owner, newest = h, at
+				}
+			}
+		}
+	}
+	return owner
+}
