--- a/review/standins-3/rig.go
+++ b/review/standins-3/rig.go
@@ -5,8 +5,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -223,11 +225,18 @@
 	}
 }
 
+// freePort returns a free port below those that the system gives to outgoing connections, so that none of these takes it before the
+// host listens on it.
 func freePort() int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	for range 1000 {
+		port := 12000 + rand.IntN(18000)
+		if listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			must(listener.Close())
+			return port
+		}
+	}
+	must(errors.New("no free port"))
+	return 0
 }
 
 // addHost starts an entry host with settings like those of DEPLOY.md.
