--- a/review/standins-3/unknownlife.go
+++ b/review/standins-3/unknownlife.go
@@ -16,11 +16,11 @@
 const (
 	shortCut = 200 * time.Millisecond
 	longCut  = 5500 * time.Millisecond // node_cut in the site file
-	ownerOff = 5 * time.Second         // of the owner's machine without power
+	ownerOff = 3 * time.Second         // from the kill of the owner to its next start; node_kill in the site file has 3.0 and 3.5 s
 )
 
 // unknownLife: a worker is cut off for a moment and starts anew behind the cut. Right after, the owner starts a task that lasts on it and
-// loses power. The next owner cannot reach the worker, which is cut off once more when it takes over.
+// is killed. The next owner cannot reach the worker, which is cut off once more when it takes over.
 func unknownLife(trouble bool) {
 	r := newRig()
 	r.configure(1, 3)
